Serve a model request through separate processes

Cause: the whole path had to exist before it is thickened. Ruled out: last stage looping straight to the first (recovery and pausing would need agreement between stages, see docs/design.md section 4). Conclusion: thin path stands; planner and directory are provisional.

--- /dev/null
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -0,0 +1,448 @@
+/**
+ * One model request, driven by the entry that accepted it: the entry owns the
+ * tokens, the attempt and the chain, and sends one step for each token.
+ */
+import {
+  Chart,
+  ChartRunner,
+  FIRST_ATTEMPT,
+  loadChartDefinition,
+  nextAttempt,
+  refuse,
+  type AttemptId,
+  type Chain,
+  type ChartEvent,
+  type Gap,
+  type Granted,
+  type Logger,
+  type Message,
+  type Metrics,
+  type ModelId,
+  type Open,
+  type PeerAddress,
+  type RanState,
+  type Rank,
+  type Refusal,
+  type Refused,
+  type RequestId,
+  type RetryReason,
+  type ServerId,
+  type ServiceId,
+  type StageFailed,
+  type TokenMessage,
+  type WorkspaceId,
+} from '@azurecrank/core';
+
+export interface GenerationRequest {
+  readonly request: RequestId;
+  readonly workspace: WorkspaceId;
+  readonly weight: number;
+  readonly rank: Rank;
+  readonly service: ServiceId;
+  readonly model: ModelId;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** Times by `performance.now()`. */
+  readonly deadlineAtMs: number;
+  readonly firstTokenDeadlineAtMs: number;
+}
+
+/** Receives the answer; after `onEnd` or `onRefused` nothing follows. */
+export interface GenerationSink {
+  onToken(text: string): void;
+  onEnd(finish: 'stop' | 'length', promptTokens: number): void;
+  onRefused(refusal: Refusal): void;
+}
+
+/** How a generation reaches the side processes. */
+export abstract class GenerationTransport {
+  /** Address at which sides reach this entry. */
+  abstract get entry(): PeerAddress;
+  abstract sendExpecting(
+    address: PeerAddress,
+    key: string,
+    message: Message,
+  ): void;
+  abstract settle(address: PeerAddress, key: string): void;
+  abstract send(address: PeerAddress, message: Message): void;
+}
+
+/** Choice of chains and permission for retries. */
+export abstract class GenerationPolicy {
+  abstract chooseChain(
+    request: GenerationRequest,
+    excluded: ReadonlySet<ServerId>,
+  ): Chain | undefined;
+  /** Returns the chain with stage `stage` on another server, if there is one. */
+  abstract replaceStage(
+    chain: Chain,
+    stage: number,
+    excluded: ReadonlySet<ServerId>,
+  ): Chain | undefined;
+  /** Whether a retry for this reason is allowed now. */
+  abstract allowRetry(reason: RetryReason): boolean;
+  abstract recordSuccess(): void;
+}
+
+export interface GenerationDependencies {
+  readonly transport: GenerationTransport;
+  readonly policy: GenerationPolicy;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+const REQUEST_CHART = new Chart<object, ChartEvent>(
+  loadChartDefinition('request'),
+);
+
+const ENDED = new Set(['complete', 'refused', 'failed', 'cancelled']);
+
+/** Pause before a request without a chain looks for one again. */
+const NO_CHAIN_RETRY_MS = 200;
+
+export class Generation implements Disposable {
+  private readonly runner = new ChartRunner<object, ChartEvent>(
+    REQUEST_CHART,
+    {},
+  );
+  private readonly excluded = new Set<ServerId>();
+  private readonly generated: number[] = [];
+  private hasSentStep = false;
+  private promptTokens: readonly number[] = [];
+  private attempt: AttemptId = FIRST_ATTEMPT;
+  private chain: Chain | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private retryTimer: NodeJS.Timeout | undefined;
+  private readonly startMs = performance.now();
+
+  constructor(
+    readonly spec: GenerationRequest,
+    private readonly sink: GenerationSink,
+    private readonly deps: GenerationDependencies,
+  ) {}
+
+  get isEnded(): boolean {
+    return ENDED.has(this.runner.state);
+  }
+
+  /** Servers that work on this request now. */
+  get currentChain(): Chain | undefined {
+    return this.chain;
+  }
+
+  start(): void {
+    const leftMs = this.spec.deadlineAtMs - performance.now();
+    this.timer = setTimeout(() => this.failByDeadline(), leftMs);
+    this.open();
+  }
+
+  /** Stops the work because the caller has gone. */
+  cancel(): void {
+    if (!this.runner.send({type: 'caller_left'})) return;
+    const {request} = this.spec;
+    const head = this.chain?.stages[0];
+    if (head) {
+      const {attempt} = this;
+      this.deps.transport.send(head.address, {
+        type: 'cancel',
+        request,
+        attempt,
+      });
+    }
+    this.finish();
+  }
+
+  receive(message: Message): void {
+    if (this.isEnded) return;
+    switch (message.type) {
+      case 'granted':
+        return this.onGranted(message);
+      case 'refused':
+        return this.onRefused(message);
+      case 'token':
+        return this.onToken(message);
+      case 'gap':
+        return this.onGap(message);
+      case 'stage_failed':
+        return this.onStageFailed(message);
+      case 'replay_refused':
+        if (message.attempt === this.attempt) this.rerunFromStart('stage_lost');
+        return;
+      case 'preempt':
+        if (message.attempt === this.attempt) this.onPreempted();
+        return;
+      default:
+        return;
+    }
+  }
+
+  /** The server of the head cannot be reached. */
+  onHeadDown(address: PeerAddress): void {
+    if (this.isEnded || this.chain?.stages[0].address !== address) return;
+    if (this.runner.state === 'queued') {
+      this.openElsewhere('connect_failed');
+    } else {
+      this.recover(0, 'stage_lost');
+    }
+  }
+
+  [Symbol.dispose](): void {
+    clearTimeout(this.timer);
+    clearTimeout(this.retryTimer);
+  }
+
+  private open(): void {
+    const chain = this.deps.policy.chooseChain(this.spec, this.excluded);
+    if (!chain) return this.waitForChain();
+    this.chain = chain;
+    this.runner.send({type: 'open_sent'});
+    this.sendToHead(this.openMessage(chain));
+  }
+
+  /** Chains come back when servers do, so the request waits if it has time. */
+  private waitForChain(): void {
+    const leftMs = this.spec.firstTokenDeadlineAtMs - performance.now();
+    const canWait = leftMs > NO_CHAIN_RETRY_MS || this.generated.length > 0;
+    if (!canWait) {
+      const options = {ran: this.ranState()};
+      return this.fail(refuse('no_chain', 'route', options));
+    }
+    this.excluded.clear();
+    this.retryTimer = setTimeout(() => this.open(), NO_CHAIN_RETRY_MS);
+  }
+
+  private openMessage(chain: Chain): Open {
+    const {deadlineAtMs, firstTokenDeadlineAtMs, ...rest} = this.spec;
+    const nowMs = performance.now();
+    return {
+      type: 'open',
+      ...rest,
+      attempt: this.attempt,
+      generatedTokens: this.generated,
+      deadlineMs: Math.max(0, deadlineAtMs - nowMs),
+      firstTokenDeadlineMs: Math.max(0, firstTokenDeadlineAtMs - nowMs),
+      chain,
+      entry: this.deps.transport.entry,
+    };
+  }
+
+  private onGranted(message: Granted): void {
+    if (message.attempt !== this.attempt) return;
+    if (!this.runner.send({type: 'granted'})) return;
+    this.observe('azurecrank_queue_ms');
+    this.promptTokens = message.promptTokens;
+    this.sendTokensFrom(0);
+  }
+
+  private onRefused(message: Refused): void {
+    if (message.attempt !== this.attempt) return;
+    if (this.runner.state !== 'queued') return;
+    const head = this.chain?.stages[0];
+    if (head) this.settle(head.address);
+    if (message.reason === 'leaving')
+      return this.openElsewhere('server_leaving');
+    const isElsewhere =
+      message.reason === 'queue_full' ||
+      message.reason === 'workspace_queue_full' ||
+      message.reason === 'starting';
+    if (isElsewhere && this.excluded.size === 0) {
+      return this.openElsewhere('refused_elsewhere');
+    }
+    const {reason, step, peer, detail, retryAfterMs} = message;
+    const ran = this.ranState();
+    this.fail(refuse(reason, step, {ran, peer, detail, retryAfterMs}));
+  }
+
+  private onToken(message: TokenMessage): void {
+    const awaited = this.promptTokens.length + this.generated.length - 1;
+    const isAwaited =
+      message.attempt === this.attempt &&
+      message.position === awaited &&
+      this.runner.state === 'generating';
+    if (!isAwaited) {
+      return this.deps.metrics.increment('azurecrank_tokens_dropped_total');
+    }
+    if (this.generated.length === 0) this.observe('azurecrank_first_token_ms');
+    this.generated.push(message.token);
+    this.sink.onToken(message.text);
+    const isFull = this.generated.length >= this.spec.maxTokens;
+    if (message.finished || isFull) {
+      return this.complete(message.finished ? 'stop' : 'length');
+    }
+    this.runner.send({type: 'token'});
+    this.sendTokensFrom(awaited + 1);
+  }
+
+  /** A stage is behind: its predecessor sends the missing positions again. */
+  private onGap(message: Gap): void {
+    if (message.attempt !== this.attempt) return;
+    this.requestReplay(message.stage, message.nextPosition);
+  }
+
+  private onStageFailed(message: StageFailed): void {
+    if (message.attempt !== this.attempt) return;
+    this.recover(message.stage, retryReasonOf(message));
+  }
+
+  private onPreempted(): void {
+    if (!this.runner.send({type: 'preempted'})) return;
+    this.countRetry('preempted');
+    this.releaseChain();
+    this.attempt = nextAttempt(this.attempt);
+    this.open();
+  }
+
+  /** Replaces one stage; the others keep their caches. */
+  private recover(stage: number, reason: RetryReason): void {
+    const lost = this.chain?.stages[stage];
+    if (!this.chain || !lost) return;
+    if (!this.runner.send({type: 'stage_lost'})) return;
+    this.excluded.add(lost.server);
+    if (!this.deps.policy.allowRetry(reason)) {
+      const options = {ran: this.ranState(), peer: lost.server};
+      return this.fail(refuse('retry_budget_exhausted', 'recover', options));
+    }
+    this.countRetry(reason);
+    this.settle(this.chain.stages[0].address);
+    const {policy, transport} = this.deps;
+    const chain = policy.replaceStage(this.chain, stage, this.excluded);
+    if (!chain) return this.rerunFromStart(reason);
+    this.chain = chain;
+    this.attempt = nextAttempt(this.attempt);
+    const {request} = this.spec;
+    const {attempt} = this;
+    chain.stages.forEach(({address}, index) => {
+      if (index === stage) return;
+      const reroute = {type: 'reroute', request, attempt, chain} as const;
+      transport.send(address, {...reroute, stage: index});
+    });
+    this.runner.send({type: 'rerouted'});
+    this.requestReplay(stage, 0);
+  }
+
+  private requestReplay(stage: number, fromPosition: number): void {
+    if (!this.chain) return;
+    if (stage === 0) return this.sendTokensFrom(fromPosition);
+    const {request} = this.spec;
+    const {attempt} = this;
+    const predecessor = this.chain.stages[stage - 1];
+    this.sendToHeadOr(predecessor.address, {
+      type: 'replay',
+      request,
+      attempt,
+      stage: stage - 1,
+      fromPosition,
+    });
+  }
+
+  /** Runs the prompt and the tokens so far again on any chain. */
+  private rerunFromStart(reason: RetryReason): void {
+    this.countRetry(reason);
+    this.releaseChain();
+    this.attempt = nextAttempt(this.attempt);
+    if (this.runner.state === 'generating') {
+      this.runner.send({type: 'stage_lost'});
+    }
+    this.runner.send({type: 'try_elsewhere'});
+    this.open();
+  }
+
+  private openElsewhere(reason: RetryReason): void {
+    const head = this.chain?.stages[0];
+    if (head) this.excluded.add(head.server);
+    if (!this.deps.policy.allowRetry(reason)) {
+      return this.fail(refuse('retry_budget_exhausted', 'route'));
+    }
+    this.countRetry(reason);
+    this.attempt = nextAttempt(this.attempt);
+    this.runner.send({type: 'try_elsewhere'});
+    this.open();
+  }
+
+  private sendTokensFrom(position: number): void {
+    const {chain} = this;
+    if (!chain) return;
+    this.hasSentStep = true;
+    const all = [...this.promptTokens, ...this.generated];
+    this.sendToHead({
+      type: 'step',
+      request: this.spec.request,
+      attempt: this.attempt,
+      position,
+      tokens: all.slice(position),
+      rank: this.spec.rank,
+      entry: this.deps.transport.entry,
+      chain,
+      stage: 0,
+    });
+  }
+
+  private sendToHead(message: Message): void {
+    const head = this.chain?.stages[0];
+    if (head) this.sendToHeadOr(head.address, message);
+  }
+
+  private sendToHeadOr(address: PeerAddress, message: Message): void {
+    this.deps.transport.sendExpecting(address, this.spec.request, message);
+  }
+
+  private settle(address: PeerAddress): void {
+    this.deps.transport.settle(address, this.spec.request);
+  }
+
+  private complete(finish: 'stop' | 'length'): void {
+    this.runner.send({type: 'last_token'});
+    this.deps.policy.recordSuccess();
+    this.finish();
+    this.sink.onEnd(finish, this.promptTokens.length);
+  }
+
+  private failByDeadline(): void {
+    const step = this.hasSentStep ? 'decode' : 'queue';
+    this.fail(refuse('deadline_exceeded', step, {ran: this.ranState()}));
+  }
+
+  private fail(refusal: Refusal): void {
+    if (this.isEnded) return;
+    this.runner.send({type: 'refused'});
+    this.finish();
+    this.sink.onRefused(refusal);
+  }
+
+  private finish(): void {
+    this.releaseChain();
+    this[Symbol.dispose]();
+  }
+
+  private releaseChain(): void {
+    const {request} = this.spec;
+    const {attempt} = this;
+    for (const {address} of this.chain?.stages ?? []) {
+      this.settle(address);
+      this.deps.transport.send(address, {type: 'release', request, attempt});
+    }
+    this.chain = undefined;
+  }
+
+  /** No engine works on a request before this entry has sent a step. */
+  private ranState(): RanState {
+    if (!this.hasSentStep) return 'not_run';
+    return this.generated.length > 0 ? 'ran' : 'unknown';
+  }
+
+  private countRetry(reason: RetryReason): void {
+    this.deps.metrics.increment('azurecrank_retries_total', {reason});
+    const {request, workspace, rank} = this.spec;
+    const fields = {request, workspace, rank, step: 'recover', reason};
+    this.deps.logger.info('retry', fields);
+  }
+
+  private observe(name: string): void {
+    const elapsedMs = performance.now() - this.startMs;
+    this.deps.metrics.observeMs(name, elapsedMs, {rank: this.spec.rank});
+  }
+}
+
+function retryReasonOf({reason}: StageFailed): RetryReason {
+  return reason === 'leaving' ? 'server_leaving' : reason;
+}
--- /dev/null
+++ b/packages/azurecrank/src/core/process/peer_transport.ts
@@ -0,0 +1,29 @@
+/** Generation transport over the connections of this process. */
+import type {Message, PeerAddress, PeerNode} from '@azurecrank/core';
+import {GenerationTransport} from '../generation/generation.js';
+
+export class PeerTransport extends GenerationTransport {
+  constructor(private readonly peers: PeerNode) {
+    super();
+  }
+
+  override get entry(): PeerAddress {
+    return this.peers.address;
+  }
+
+  override send(address: PeerAddress, message: Message): void {
+    this.peers.send(address, message);
+  }
+
+  override sendExpecting(
+    address: PeerAddress,
+    key: string,
+    message: Message,
+  ): void {
+    this.peers.sendExpecting(address, key, message);
+  }
+
+  override settle(address: PeerAddress, key: string): void {
+    this.peers.settle(address, key);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,164 @@
+/** A small fleet of real processes on the loopback address. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {DisposableStore, toId, type EngineInfo} from '@azurecrank/core';
+import {ChildProgram} from './child_process.js';
+
+export interface RunningStandin {
+  readonly program: ChildProgram;
+  readonly url: string;
+}
+
+export interface RunningProcess {
+  readonly program: ChildProgram;
+  readonly httpUrl: string;
+}
+
+export interface ModelServerOptions {
+  readonly server: string;
+  readonly model: string;
+  readonly modelLayers: number;
+  readonly firstLayer: number;
+  readonly endLayer: number;
+  readonly layerMs?: number;
+  readonly prefillLayerMs?: number;
+  readonly maxSequences?: number;
+  readonly checksFence?: boolean;
+  readonly accelerator?: string;
+  readonly availabilityZone?: string;
+  readonly settings?: Settings;
+}
+
+export interface ModelServer extends RunningProcess {
+  readonly engine: RunningStandin;
+  readonly server: string;
+}
+
+/** Values of a settings file, by key as it stands in the file. */
+export type Settings = Readonly<
+  Record<string, string | number | readonly string[]>
+>;
+
+const DEFAULT_ENGINE = {
+  modelVersion: '1',
+  accelerator: 'standard',
+  memoryBytes: 16_000_000_000,
+  layerMs: 0.2,
+  prefillLayerMs: 0.005,
+  maxSequences: 16,
+  checksFence: true,
+} as const;
+
+const BATCH_OVERHEAD_MS = 0.5;
+
+export class Fleet implements Disposable {
+  private readonly store = new DisposableStore();
+  private readonly directory = mkdtempSync(join(tmpdir(), 'azurecrank-'));
+  private keyValueUrl = '';
+  private fileCount = 0;
+
+  constructor() {
+    this.store.defer(() => rmSync(this.directory, {recursive: true}));
+  }
+
+  get keyValue(): string {
+    return this.keyValueUrl;
+  }
+
+  async startKeyValue(): Promise<RunningStandin> {
+    const standin = await this.startStandin('key-value', {});
+    this.keyValueUrl = standin.url;
+    return standin;
+  }
+
+  async startStandin(kind: string, options: object): Promise<RunningStandin> {
+    const args = [kind, JSON.stringify(options)];
+    const program = this.start(kind, 'standin', args);
+    const {ready} = await program.ready<{ready: string}>();
+    return {program, url: ready};
+  }
+
+  /** Starts an engine and the side process beside it. */
+  async startModelServer(options: ModelServerOptions): Promise<ModelServer> {
+    const {server, model, modelLayers, settings, availabilityZone, ...rest} =
+      options;
+    const info: EngineInfo = {...DEFAULT_ENGINE, ...rest, model: toId(model)};
+    const engine = await this.startStandin('engine', {
+      info,
+      modelLayers,
+      batchOverheadMs: BATCH_OVERHEAD_MS,
+    });
+    const side = await this.startSide(server, {
+      engine_url: engine.url,
+      availability_zone: availabilityZone ?? 'zone-a',
+      ...settings,
+    });
+    return {...side, engine, server};
+  }
+
+  async startSide(server: string, settings: Settings): Promise<RunningProcess> {
+    return this.startProcess(`side-${server}`, 'side', [], {
+      server,
+      ...settings,
+    });
+  }
+
+  async startEntry(
+    node: string,
+    settings: Settings = {},
+  ): Promise<RunningProcess> {
+    return this.startProcess(node, 'azurecrank', ['entry'], settings);
+  }
+
+  /** Writes a file into the fleet's directory and returns its path. */
+  writeFile(name: string, text: string): string {
+    const path = join(this.directory, `${this.fileCount++}-${name}`);
+    writeFileSync(path, text);
+    return path;
+  }
+
+  /** Runs a command of `azurecrank` to its end. */
+  run(args: readonly string[]): ChildProgram {
+    return this.start(args[0] ?? '', 'azurecrank', args);
+  }
+
+  [Symbol.dispose](): void {
+    this.store[Symbol.dispose]();
+  }
+
+  private async startProcess(
+    node: string,
+    program: 'side' | 'azurecrank',
+    command: readonly string[],
+    settings: Settings,
+  ): Promise<RunningProcess> {
+    const file = this.writeFile(
+      `${node}.toml`,
+      toToml({
+        node,
+        host: `host-of-${node}`,
+        availability_zone: 'zone-a',
+        key_value_url: this.keyValueUrl,
+        ...settings,
+      }),
+    );
+    const child = this.start(node, program, [...command, '--settings', file]);
+    const {httpPort} = await child.ready<{httpPort: number}>();
+    return {program: child, httpUrl: `http://127.0.0.1:${httpPort}`};
+  }
+
+  private start(
+    name: string,
+    program: 'standin' | 'side' | 'azurecrank',
+    args: readonly string[],
+  ): ChildProgram {
+    return this.store.add(new ChildProgram(name, program, args));
+  }
+}
+
+function toToml(settings: Settings): string {
+  return Object.entries(settings)
+    .map(([key, value]) => `${key} = ${JSON.stringify(value)}\n`)
+    .join('');
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,4 @@
-/** Placeholder until the package has a public surface. */
-export const PACKAGE = 'bench';
+/** Fleet of processes for tests, demo and benchmarks. */
+export * from './fleet/child_process.js';
+export * from './fleet/fleet.js';
+export * from './fleet/chat_client.js';
--- /dev/null
+++ b/packages/bench/test/whole_path_test.ts
@@ -0,0 +1,63 @@
+import {after, before, describe, it} from 'node:test';
+import {referenceAnswer} from '@azurecrank/standins';
+import {expect} from 'earl';
+import OpenAI from 'openai';
+import {Fleet, promptLine, streamChat} from '../src/index.js';
+import type {RunningProcess} from '../src/index.js';
+
+const MODEL = 'bench-13b';
+const LAYERS = 12;
+const MAX_TOKENS = 20;
+const PROMPT = 'draft a diagnosis for a slow focal plane shutter';
+const EXPECTED = referenceAnswer(promptLine(PROMPT), MAX_TOKENS, LAYERS);
+
+describe('whole path', () => {
+  const fleet = new Fleet();
+  let entry: RunningProcess;
+
+  before(async () => {
+    await fleet.startKeyValue();
+    await Promise.all(
+      [0, 4, 8].map(firstLayer =>
+        fleet.startModelServer({
+          server: `server-${firstLayer}`,
+          model: MODEL,
+          modelLayers: LAYERS,
+          firstLayer,
+          endLayer: firstLayer + 4,
+        }),
+      ),
+    );
+    entry = await fleet.startEntry('entry-1');
+  });
+  after(() => fleet[Symbol.dispose]());
+
+  describe('a chain of three processes', () => {
+    it('streams the answer that the whole model would give', async () => {
+      const outcome = await streamChat({
+        url: entry.httpUrl,
+        bearerKey: 'walk-in',
+        service: MODEL,
+        prompt: PROMPT,
+        maxTokens: MAX_TOKENS,
+      });
+      expect(outcome.reason).toEqual('');
+      expect(outcome.isWhole).toEqual(true);
+      expect(outcome.text).toEqual(EXPECTED);
+    });
+
+    it('serves an unmodified client library without streaming', async () => {
+      const client = new OpenAI({
+        baseURL: `${entry.httpUrl}/v1`,
+        apiKey: 'walk-in',
+      });
+      const answer = await client.chat.completions.create({
+        model: MODEL,
+        messages: [{role: 'user', content: PROMPT}],
+        max_tokens: MAX_TOKENS,
+      });
+      expect(answer.choices[0].message.content).toEqual(EXPECTED);
+      expect(answer.choices[0].finish_reason).toEqual('length');
+    });
+  });
+});
--- /dev/null
+++ b/packages/core/src/core/lifecycle/health_server.ts
@@ -0,0 +1,55 @@
+/** HTTP server with liveness, readiness and metrics for the platform. */
+import {createServer, type Server} from 'node:http';
+import polka, {type Polka, type Request} from 'polka';
+import type {Metrics} from '../telemetry/metrics.js';
+
+export interface HealthSource {
+  isReady(): boolean;
+  readonly metrics: Metrics;
+}
+
+export class HealthServer implements Disposable {
+  /** Routes may be added before `listen`. */
+  readonly app: Polka = polka();
+  private server: Server | undefined;
+
+  constructor(source: HealthSource) {
+    this.app.get('/livez', (_, res) => {
+      res.end('ok\n');
+    });
+    this.app.get('/readyz', (_, res) => {
+      const isReady = source.isReady();
+      res.statusCode = isReady ? 200 : 503;
+      res.end(isReady ? 'ready\n' : 'not ready\n');
+    });
+    this.app.get('/metrics', (_, res) => {
+      res.setHeader('content-type', 'text/plain; version=0.0.4');
+      res.end(source.metrics.render());
+    });
+  }
+
+  /** Returns the port it listens on; port 0 takes a free one. */
+  async listen(host: string, port: number): Promise<number> {
+    const server = createServer((req, res) => {
+      this.app.handler(req as Request, res);
+    });
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+    const bound = server.address();
+    return typeof bound === 'object' && bound ? bound.port : port;
+  }
+
+  /** Stops taking connections; those with a request in flight go on. */
+  close(): void {
+    this.server?.close();
+    this.server?.closeIdleConnections();
+  }
+
+  [Symbol.dispose](): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+}
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -28,6 +28,15 @@
    * @param unsent messages that provably never left this process.
    */
   onLinkDown?(link: PeerLink, cause: string, unsent: Message[]): void;
+  /**
+   * A process cannot be reached any more, by a new connection either.
+   * @param unanswered messages that were sent and not settled.
+   */
+  onPeerDown?(
+    address: PeerAddress,
+    cause: string,
+    unanswered: ReadonlyMap<string, Message>,
+  ): void;
 }
 
 /** A connection with what is known about its other end. */
@@ -36,6 +45,10 @@
   hello: Hello | undefined;
   /** Messages waiting for the connection to be established. */
   readonly unsent: Message[] = [];
+  /** Messages for which signs of life are expected, by key. */
+  readonly unanswered = new Map<string, Message>();
+  /** Whether a lost connection has been dialled again since the last data. */
+  isRedial = false;
 
   constructor(
     /** Address this process connected to; empty for accepted connections. */
@@ -62,6 +75,7 @@
   private server: Server | undefined;
   private readonly outgoing = new Map<PeerAddress, PeerLink>();
   private readonly accepted = new Set<PeerLink>();
+  private isDisposed = false;
 
   constructor(
     private readonly identity: PeerIdentity,
@@ -96,6 +110,21 @@
     return this.link(address).send(message);
   }
 
+  /**
+   * Sends a message that is safe to repeat. If the connection is lost before
+   * `settle`, it is sent again on a new one; if there is none, `onPeerDown`
+   * reports it.
+   */
+  sendExpecting(address: PeerAddress, key: string, message: Message): void {
+    const link = this.link(address);
+    link.unanswered.set(key, message);
+    link.send(message);
+  }
+
+  settle(address: PeerAddress, key: string): void {
+    this.outgoing.get(address)?.unanswered.delete(key);
+  }
+
   /** Sends to every connected process, whoever opened the connection. */
   broadcast(message: Message): void {
     for (const link of this.links()) link.send(message);
@@ -111,6 +140,7 @@
   }
 
   [Symbol.dispose](): void {
+    this.isDisposed = true;
     this.server?.close();
     for (const link of this.links()) link.connection?.close('disposed');
   }
@@ -135,6 +165,7 @@
       clearTimeout(timer);
       this.outgoing.delete(link.address);
       this.handlers.onLinkDown?.(link, error.message, link.unsent.splice(0));
+      this.handlers.onPeerDown?.(link.address, error.message, link.unanswered);
     };
     socket.once('error', fail);
     socket.once('connect', () => {
@@ -161,6 +192,7 @@
 
   private receive(message: Message, link: PeerLink): void {
     if (message.type === 'hello') link.hello = message;
+    link.isRedial = false;
     this.handlers.onMessage(message, link);
   }
 
@@ -170,6 +202,24 @@
       this.outgoing.delete(link.address);
     }
     this.handlers.onLinkDown?.(link, cause, []);
+    if (link.unanswered.size === 0 || this.isDisposed) return;
+    if (link.isRedial) {
+      this.handlers.onPeerDown?.(link.address, cause, link.unanswered);
+      return;
+    }
+    this.redial(link);
+  }
+
+  /** Opens a new connection and sends again what was not answered. */
+  private redial(lost: PeerLink): void {
+    const link = new PeerLink(lost.address);
+    link.isRedial = true;
+    for (const [key, message] of lost.unanswered) {
+      link.unanswered.set(key, message);
+      link.unsent.push(message);
+    }
+    this.outgoing.set(link.address, link);
+    this.dial(link);
   }
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,4 @@
 export * from './core/telemetry/logger.js';
 export * from './core/telemetry/metrics.js';
 export * from './core/placement/plan.js';
+export * from './core/lifecycle/health_server.js';
--- a/packages/side/src/index.ts
+++ b/packages/side/src/index.ts
@@ -1,2 +1,8 @@
-/** Placeholder until the package has a public surface. */
-export const PACKAGE = 'side';
+/** Public surface of the side process, for tests. */
+export * from './core/sequences/sequence_chart.js';
+export * from './core/sequences/activation_log.js';
+export * from './core/sequences/stage_runner.js';
+export * from './core/sequences/stage.js';
+export * from './core/head/head.js';
+export * from './core/registration/registration.js';
+export * from './core/process/side_process.js';
