--- a/packages/azurecrank/src/cli/entry/entry_command.ts
+++ b/packages/azurecrank/src/cli/entry/entry_command.ts
@@ -35,7 +35,9 @@
     process.on('SIGTERM', stop);
     process.on('SIGINT', stop);
     const httpPort = await entry.start();
-    process.stdout.write(JSON.stringify({ready: true, httpPort}) + '\n');
+    const {peerAddress} = entry;
+    const line = JSON.stringify({ready: true, httpPort, peerAddress});
+    process.stdout.write(line + '\n');
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(error.message + '\n');
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -16,6 +16,7 @@
   type ConfigVersion,
   type EntrySettings,
   type Message,
+  type PeerAddress,
   type PlanVersion,
 } from '@azurecrank/core';
 import {Gateway} from '../gateway/gateway.js';
@@ -73,10 +74,16 @@
     );
   }
 
+  /** Address of the listener for other processes. */
+  get peerAddress(): PeerAddress {
+    return this.peers.boundAddress;
+  }
+
   /** Listens and accepts callers. Returns the HTTP port. */
   async start(): Promise<number> {
     const {address, peerPort, httpPort} = this.settings;
-    await this.peers.listen(address, peerPort);
+    const {advertisedAddress} = this.settings;
+    await this.peers.listen(address, peerPort, advertisedAddress);
     const {maxBodyBytes, maxRequests} = this.settings;
     const gateway = new Gateway({
       instance: this.instance,
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {DisposableStore, toId, type EngineInfo} from '@azurecrank/core';
+import {Forwarder} from '@azurecrank/standins';
 import {ChildProgram} from './child_process.js';
 
 export interface RunningStandin {
@@ -13,6 +14,8 @@
 export interface RunningProcess {
   readonly program: ChildProgram;
   readonly httpUrl: string;
+  /** `IP:PORT` of the listener for other processes. */
+  readonly peerAddress: string;
 }
 
 export interface ModelServerOptions {
@@ -40,6 +43,11 @@
   Record<string, string | number | readonly string[]>
 >;
 
+interface ReadyLine {
+  readonly httpPort: number;
+  readonly peerAddress: string;
+}
+
 const DEFAULT_ENGINE = {
   modelVersion: '1',
   accelerator: 'standard',
@@ -97,6 +105,23 @@
     return {...side, engine, server};
   }
 
+  /**
+   * Starts a model server whose peers reach it through a forwarder that can
+   * make open connections go silent.
+   */
+  async startForwardedServer(
+    options: ModelServerOptions,
+  ): Promise<ModelServer & {readonly forwarder: Forwarder}> {
+    const forwarder = this.store.add(new Forwarder());
+    await forwarder.start();
+    const server = await this.startModelServer({
+      ...options,
+      settings: {...options.settings, advertised_address: forwarder.address},
+    });
+    forwarder.setTarget(server.peerAddress);
+    return {...server, forwarder};
+  }
+
   async startSide(server: string, settings: Settings): Promise<RunningProcess> {
     return this.startProcess(`side-${server}`, 'side', [], {
       server,
@@ -144,8 +169,9 @@
       }),
     );
     const child = this.start(node, program, [...command, '--settings', file]);
-    const {httpPort} = await child.ready<{httpPort: number}>();
-    return {program: child, httpUrl: `http://127.0.0.1:${httpPort}`};
+    const {httpPort, peerAddress} = await child.ready<ReadyLine>();
+    const httpUrl = `http://127.0.0.1:${httpPort}`;
+    return {program: child, httpUrl, peerAddress};
   }
 
   private start(
--- a/packages/core/src/core/settings/process_settings.ts
+++ b/packages/core/src/core/settings/process_settings.ts
@@ -17,6 +17,11 @@
   address: z.string().min(1).default('127.0.0.1'),
   /** TCP port for other processes; 0 takes a free one. */
   peerPort: port.default(0),
+  /** `IP:PORT` told to other processes, where it differs from the listener. */
+  advertisedAddress: z
+    .string()
+    .regex(/^.+:\d+$/)
+    .optional(),
   keyValueUrl: url,
   hostListUrl: url.optional(),
   /** Peers to ask for configuration and plan while the service is down. */
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -72,6 +72,9 @@
   /** `IP:PORT` at which other processes reach this one. */
   address = '' as PeerAddress;
 
+  /** `IP:PORT` of the listener itself. */
+  boundAddress = '' as PeerAddress;
+
   private server: Server | undefined;
   private readonly outgoing = new Map<PeerAddress, PeerLink>();
   private readonly accepted = new Set<PeerLink>();
@@ -82,8 +85,15 @@
     private readonly handlers: PeerHandlers,
   ) {}
 
-  /** Starts to listen; port 0 takes a free one. */
-  async listen(host: string, port: number): Promise<PeerAddress> {
+  /**
+   * Starts to listen; port 0 takes a free one.
+   * @param advertised address told to other processes instead.
+   */
+  async listen(
+    host: string,
+    port: number,
+    advertised?: string,
+  ): Promise<PeerAddress> {
     const server = createServer(socket => this.accept(socket));
     this.server = server;
     await new Promise<void>((resolve, reject) => {
@@ -92,7 +102,8 @@
     });
     const bound = server.address();
     const boundPort = typeof bound === 'object' && bound ? bound.port : port;
-    this.address = `${host}:${boundPort}` as PeerAddress;
+    this.boundAddress = `${host}:${boundPort}` as PeerAddress;
+    this.address = (advertised ?? this.boundAddress) as PeerAddress;
     return this.address;
   }
 
--- a/packages/side/src/cli/main.ts
+++ b/packages/side/src/cli/main.ts
@@ -20,7 +20,9 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   const httpPort = await side.start();
-  process.stdout.write(JSON.stringify({ready: true, httpPort}) + '\n');
+  const {peerAddress} = side;
+  const line = JSON.stringify({ready: true, httpPort, peerAddress});
+  process.stdout.write(line + '\n');
 }
 
 const argv = await yargs(hideBin(process.argv))
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -17,6 +17,7 @@
   type Engine,
   type Message,
   type PeerLink,
+  type PeerAddress,
   type PlanVersion,
   type RegisteredEngine,
   type ServiceId,
@@ -75,10 +76,16 @@
     );
   }
 
+  /** Address of the listener for other processes. */
+  get peerAddress(): PeerAddress {
+    return this.peers.boundAddress;
+  }
+
   /** Listens, registers the server and takes work. Returns the HTTP port. */
   async start(): Promise<number> {
     const {address, peerPort, httpPort, engineUrl} = this.settings;
-    await this.peers.listen(address, peerPort);
+    const {advertisedAddress} = this.settings;
+    await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
     const engine = engineUrl ? await this.startStage(engineUrl) : undefined;
     await this.register(engine);
--- a/packages/standins/src/forwarder/forwarder.ts
+++ b/packages/standins/src/forwarder/forwarder.ts
@@ -10,10 +10,15 @@
   private isBlocked = false;
   address = '';
 
-  constructor(
-    private readonly targetHost: string,
-    private readonly targetPort: number,
-  ) {}
+  private targetHost = '';
+  private targetPort = 0;
+
+  /** @param address `IP:PORT` to which connections are forwarded. */
+  setTarget(address: string): void {
+    const [host, port] = address.split(':');
+    this.targetHost = host;
+    this.targetPort = Number(port);
+  }
 
   async start(): Promise<this> {
     const server = createServer(socket => this.forward(socket));
