--- /dev/null
+++ b/packages/core/src/core/routing/stable_hash.ts
@@ -0,0 +1,9 @@
+/** A hash that is the same in all processes and versions of the system. */
+import createXxhash from 'xxhash-wasm';
+
+const {h32} = await createXxhash();
+
+/** Returns an unsigned 32-bit hash of the text's UTF-8 bytes. */
+export function stableHash(text: string, seed = 0): number {
+  return h32(text, seed);
+}
