--- /dev/null
+++ b/packages/core/src/core/placement/repair_chains.ts
@@ -0,0 +1,228 @@
+/** Keeps the chains of the previous plan and replaces their lost stages. */
+import type {ServerId} from '../ids/ids.js';
+import type {Chain, ChainStage} from '../wire/messages.js';
+import {toStage} from './form_groups.js';
+import {
+  compareIds,
+  holdsRange,
+  maxLayers,
+  rangeKey,
+  type EngineServer,
+  type LayerRange,
+  type LinkTime,
+  type PlacementModel,
+  type PlanningOptions,
+} from './placement_types.js';
+
+export interface RepairInput {
+  /** Chains of the model in the previous plan. */
+  readonly chains: readonly Chain[];
+  /** Live servers assigned to the model. */
+  readonly servers: readonly EngineServer[];
+  readonly model: PlacementModel;
+  readonly links: LinkTime;
+  readonly options: PlanningOptions;
+}
+
+/** Returns the chains that survive, with their ids and ranges unchanged. */
+export function repairChains(input: RepairInput): Chain[] {
+  return new ChainRepair(input).run();
+}
+
+class ChainRepair {
+  private readonly live: Map<ServerId, EngineServer>;
+  private readonly spares: Map<ServerId, EngineServer>;
+
+  constructor(private readonly input: RepairInput) {
+    const sorted = [...input.servers].sort((a, b) =>
+      compareIds(a.server, b.server),
+    );
+    const planned = new Set(
+      input.chains.flatMap(chain => chain.stages.map(stage => stage.server)),
+    );
+    this.live = new Map(sorted.map(server => [server.server, server]));
+    this.spares = new Map(
+      [...this.live].filter(([server]) => !planned.has(server)),
+    );
+  }
+
+  /**
+   * Broken chains that lack least are repaired first, because they need the
+   * fewest servers; those that lack most are the donors.
+   */
+  run(): Chain[] {
+    const broken: Chain[] = [];
+    const result: Chain[] = [];
+    for (const chain of this.input.chains) {
+      if (!this.coversModel(chain)) broken.push(chain);
+      else if (this.countLost(chain) > 0) broken.push(chain);
+      else result.push(this.replaceSlowStage(this.refresh(chain)));
+    }
+    broken.sort(
+      (a, b) =>
+        this.countLost(a) - this.countLost(b) || compareIds(a.chain, b.chain),
+    );
+    while (broken.length > 0) {
+      const chain = broken.shift()!;
+      const repaired = this.coversModel(chain) && this.repair(chain, broken);
+      if (repaired) result.push(repaired);
+      else this.dissolve(chain);
+    }
+    return result.sort((a, b) => compareIds(a.chain, b.chain));
+  }
+
+  private coversModel(chain: Chain): boolean {
+    return chain.stages.at(-1)?.endLayer === this.input.model.layers;
+  }
+
+  private countLost(chain: Chain): number {
+    return chain.stages.filter(stage => !this.live.has(stage.server)).length;
+  }
+
+  /** Takes over addresses that changed with a restart. */
+  private refresh(chain: Chain): Chain {
+    const {modelVersion} = this.input.model;
+    const stages = chain.stages.map(stage => {
+      const server = this.live.get(stage.server);
+      return server ? toStage(server, stage) : stage;
+    });
+    return {...chain, modelVersion, stages};
+  }
+
+  /**
+   * Members of a dissolved chain become spares. They hold the ranges of the
+   * previous plan, which later repairs in this run may use.
+   */
+  private dissolve(chain: Chain): void {
+    for (const stage of chain.stages) {
+      const server = this.live.get(stage.server);
+      if (server) this.spares.set(server.server, holding(server, stage));
+    }
+  }
+
+  private repair(chain: Chain, donors: Chain[]): Chain | undefined {
+    const refreshed = this.refresh(chain);
+    const taken: {server: EngineServer; donor?: Chain}[] = [];
+    const takenIds = new Set<ServerId>();
+    const stages: ChainStage[] = [...refreshed.stages];
+    for (const [index, stage] of stages.entries()) {
+      if (this.live.has(stage.server)) continue;
+      const found = this.findFor(stages, index, donors, takenIds);
+      if (!found) return undefined;
+      taken.push(found);
+      takenIds.add(found.server.server);
+      stages[index] = toStage(found.server, stage);
+    }
+    for (const {server, donor} of taken) {
+      this.spares.delete(server.server);
+      if (donor) removeStage(donors, donor, server.server);
+    }
+    return {...refreshed, stages};
+  }
+
+  /** A holder of the range comes first, because loading is rate-limited. */
+  private findFor(
+    stages: readonly ChainStage[],
+    index: number,
+    donors: readonly Chain[],
+    taken: ReadonlySet<ServerId>,
+  ): {server: EngineServer; donor?: Chain} | undefined {
+    const range = stages[index];
+    const spares = [...this.spares.values()].filter(
+      spare => !taken.has(spare.server),
+    );
+    const holders = spares.filter(spare => holds(spare, range));
+    const holder = this.pickNearest(holders, stages, index);
+    if (holder) return {server: holder};
+    const donated = this.findDonor(range, donors, taken);
+    if (donated) return donated;
+    const {model} = this.input;
+    const count = range.endLayer - range.firstLayer;
+    const empty = spares.filter(
+      spare => !holdsRange(spare) && maxLayers(spare, model) >= count,
+    );
+    const loader = this.pickNearest(empty, stages, index);
+    return loader && {server: loader};
+  }
+
+  /** The last donor is the chain that lacks most. */
+  private findDonor(
+    range: LayerRange,
+    donors: readonly Chain[],
+    taken: ReadonlySet<ServerId>,
+  ): {server: EngineServer; donor: Chain} | undefined {
+    for (const donor of [...donors].reverse()) {
+      const stage = donor.stages.find(s => rangeKey(s) === rangeKey(range));
+      const server = stage && this.live.get(stage.server);
+      if (server && !taken.has(server.server)) return {server, donor};
+    }
+    return undefined;
+  }
+
+  private pickNearest(
+    candidates: readonly EngineServer[],
+    stages: readonly ChainStage[],
+    index: number,
+  ): EngineServer | undefined {
+    const before = this.live.get(stages[index - 1]?.server);
+    const after = this.live.get(stages[index + 1]?.server);
+    const {links} = this.input;
+    const count = stages[index].endLayer - stages[index].firstLayer;
+    const costMs = (server: EngineServer) =>
+      count * server.engine.layerMs +
+      (before ? links(before, server) : 0) +
+      (after ? links(server, after) : 0);
+    return candidates.reduce<EngineServer | undefined>(
+      (best, next) => (!best || costMs(next) < costMs(best) ? next : best),
+      undefined,
+    );
+  }
+
+  private replaceSlowStage(chain: Chain): Chain {
+    const timesMs = chain.stages.map(stage => this.stageMs(stage));
+    const index = timesMs.indexOf(Math.max(...timesMs));
+    const stage = chain.stages[index];
+    const holders = [...this.spares.values()].filter(s => holds(s, stage));
+    const spare = this.pickNearest(holders, chain.stages, index);
+    if (!spare) return chain;
+    const spareMs =
+      (timesMs[index] / this.layerMs(stage)) * spare.engine.layerMs;
+    if (spareMs * this.input.options.slowdownFactor > timesMs[index]) {
+      return chain;
+    }
+    this.spares.delete(spare.server);
+    const slow = this.live.get(stage.server)!;
+    this.spares.set(slow.server, holding(slow, stage));
+    const stages = [...chain.stages];
+    stages[index] = toStage(spare, stage);
+    return {...chain, stages};
+  }
+
+  private layerMs(stage: ChainStage): number {
+    return this.live.get(stage.server)?.engine.layerMs ?? 0;
+  }
+
+  private stageMs(stage: ChainStage): number {
+    return (stage.endLayer - stage.firstLayer) * this.layerMs(stage);
+  }
+}
+
+function holds(server: EngineServer, range: LayerRange): boolean {
+  return holdsRange(server) && rangeKey(server.engine) === rangeKey(range);
+}
+
+/** The server as it is after the orders of the previous plan. */
+export function holding(
+  server: EngineServer,
+  {firstLayer, endLayer}: LayerRange,
+): EngineServer {
+  return {...server, engine: {...server.engine, firstLayer, endLayer}};
+}
+
+function removeStage(donors: Chain[], donor: Chain, server: ServerId): void {
+  const index = donors.indexOf(donor);
+  const lost = donor.stages.map(stage =>
+    stage.server === server ? {...stage, server: '' as ServerId} : stage,
+  );
+  donors[index] = {...donor, stages: lost};
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,8 @@
 export * from './core/detection/silence_detector.js';
 export * from './core/detection/stall_detector.js';
 export * from './core/membership/membership_view.js';
+export * from './core/placement/placement_types.js';
+export * from './core/placement/layer_split.js';
+export * from './core/placement/plan_chains.js';
+export * from './core/placement/throughput.js';
+export * from './core/placement/find_replacement.js';
