Replace silent connections, declare frozen peers down, keep early inputs

Cause: (1) nothing watched a connection that should be answering; (2) a stage dropped an input for later positions that arrived while it ran earlier ones, so a replay that overlapped a running step stalled until the deadline. Change: each outgoing link carries a SilenceDetector; a probe on a second connection tells a lost connection from a lost peer; unanswered messages go out again on the new connection. A stage keeps the furthest early input. The entry sends a step again after 1 s without a token, which stages answer from their logs. Ruled out: longer deadlines; blaming the peer from silence alone.

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -95,6 +95,9 @@
   loadChartDefinition('request'),
 );
 
+/** A token that takes longer may have been lost on its way. */
+const STEP_RESEND_MS = 1000;
+
 const ENDED = new Set(['complete', 'refused', 'failed', 'cancelled']);
 
 /** Pause before a request without a chain looks for one again. */
@@ -113,6 +116,7 @@
   private chain: Chain | undefined;
   private timer: NodeJS.Timeout | undefined;
   private retryTimer: NodeJS.Timeout | undefined;
+  private resendTimer: NodeJS.Timeout | undefined;
   private readonly startMs = performance.now();
 
   constructor(
@@ -189,6 +193,7 @@
   [Symbol.dispose](): void {
     clearTimeout(this.timer);
     clearTimeout(this.retryTimer);
+    clearTimeout(this.resendTimer);
   }
 
   private open(): void {
@@ -362,6 +367,11 @@
   private sendTokensFrom(position: number): void {
     const {chain} = this;
     if (!chain) return;
+    clearTimeout(this.resendTimer);
+    this.resendTimer = setTimeout(
+      () => this.resendStep(position),
+      STEP_RESEND_MS,
+    );
     this.hasSentStep = true;
     const all = [...this.promptTokens, ...this.generated];
     this.sendToHead({
@@ -377,6 +387,13 @@
     });
   }
 
+  /** A stage that has run the step answers from its log. */
+  private resendStep(position: number): void {
+    if (this.runner.state !== 'generating') return;
+    this.deps.metrics.increment('azurecrank_steps_resent_total');
+    this.sendTokensFrom(position);
+  }
+
   private sendToHead(message: Message): void {
     const head = this.chain?.stages[0];
     if (head) this.sendToHeadOr(head.address, message);
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -12,6 +12,7 @@
   RETRY_REASONS,
   createInstanceId,
   loadChartDefinition,
+  toSilenceOptions,
   type ChartEvent,
   type ConfigVersion,
   type EntrySettings,
@@ -56,14 +57,22 @@
       availabilityZone,
     } as const;
     this.peers = this.store.add(
-      new PeerNode(identity, {
-        versions: () => ({
-          configVersion: 0 as ConfigVersion,
-          planVersion: 0 as PlanVersion,
-        }),
-        onMessage: message => this.receive(message),
-        onPeerDown: address => this.generations.onPeerDown(address),
-      }),
+      new PeerNode(
+        identity,
+        {
+          versions: () => ({
+            configVersion: 0 as ConfigVersion,
+            planVersion: 0 as PlanVersion,
+          }),
+          onMessage: message => this.receive(message),
+          onPeerDown: address => this.generations.onPeerDown(address),
+          onConnectionReplaced: () =>
+            this.metrics.increment('azurecrank_retries_total', {
+              reason: 'connection_replaced',
+            }),
+        },
+        toSilenceOptions(settings),
+      ),
     );
     this.planner = this.store.add(new RegistrationPlanner(this.keyValue));
     this.health = this.store.add(
--- a/packages/core/src/core/settings/process_settings.ts
+++ b/packages/core/src/core/settings/process_settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the two kinds of processes, with units and defaults. */
 import {z} from 'zod';
+import type {SilenceOptions} from '../detection/silence_detector.js';
 
 const port = z.number().int().min(0).max(65535);
 const positiveMs = z.number().int().positive();
@@ -86,3 +87,11 @@
 });
 
 export type SideSettings = z.infer<typeof sideSettingsSchema>;
+
+/** Returns the detection periods of a process. */
+export function toSilenceOptions(
+  settings: Pick<EntrySettings, 'suspectAfterMs' | 'probeTimeoutMs'>,
+): Partial<SilenceOptions> {
+  const {suspectAfterMs, probeTimeoutMs} = settings;
+  return {suspectAfterMs, probeTimeoutMs};
+}
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -1,15 +1,25 @@
 /**
- * This process's end of all connections to other processes: it listens, keeps
- * at most one outgoing connection per address, and exchanges `hello`.
+ * This process's end of all connections to other processes. It listens, keeps
+ * one outgoing connection for each address, replaces connections that have
+ * gone silent, and reports processes that cannot be reached.
  */
 import {connect, createServer, type Server, type Socket} from 'node:net';
+import type {
+  PeerDecision,
+  SilenceOptions,
+} from '../detection/silence_detector.js';
 import type {ConfigVersion, PeerAddress, PlanVersion} from '../ids/ids.js';
+import {PauseMonitor} from '../lifecycle/pause_monitor.js';
 import type {Hello, Message} from './messages.js';
 import {PeerConnection} from './peer_connection.js';
+import {PeerLink} from './peer_link.js';
 
 /** Time allowed for a TCP connection to be established. */
 const CONNECT_TIMEOUT_MS = 1000;
 
+/** Period at which the silence of all connections is looked at. */
+const HEALTH_PERIOD_MS = 100;
+
 export interface PeerVersions {
   readonly configVersion: ConfigVersion;
   readonly planVersion: PlanVersion;
@@ -23,49 +33,19 @@
 export interface PeerHandlers {
   versions(): PeerVersions;
   onMessage(message: Message, from: PeerLink): void;
-  /**
-   * A link is gone.
-   * @param unsent messages that provably never left this process.
-   */
-  onLinkDown?(link: PeerLink, cause: string, unsent: Message[]): void;
   /**
    * A process cannot be reached any more, by a new connection either.
    * @param unanswered messages that were sent and not settled.
+   * @param unsent messages that provably never left this process.
    */
   onPeerDown?(
     address: PeerAddress,
     cause: string,
     unanswered: ReadonlyMap<string, Message>,
+    unsent: readonly Message[],
   ): void;
-}
-
-/** A connection with what is known about its other end. */
-export class PeerLink {
-  connection: PeerConnection | undefined;
-  hello: Hello | undefined;
-  /** Messages waiting for the connection to be established. */
-  readonly unsent: Message[] = [];
-  /** Messages for which signs of life are expected, by key. */
-  readonly unanswered = new Map<string, Message>();
-  /** Whether a lost connection has been dialled again since the last data. */
-  isRedial = false;
-
-  constructor(
-    /** Address this process connected to; empty for accepted connections. */
-    readonly address: PeerAddress,
-  ) {}
-
-  /** Name of the peer in logs and errors. */
-  get name(): string {
-    return this.hello?.node ?? this.connection?.remote ?? this.address;
-  }
-
-  /** Sends now, or once connected. Returns false if the link is closed. */
-  send(message: Message): boolean {
-    if (this.connection) return this.connection.send(message);
-    this.unsent.push(message);
-    return true;
-  }
+  /** A silent connection was replaced; the peer is well. */
+  onConnectionReplaced?(address: PeerAddress): void;
 }
 
 export class PeerNode implements Disposable {
@@ -78,12 +58,20 @@
   private server: Server | undefined;
   private readonly outgoing = new Map<PeerAddress, PeerLink>();
   private readonly accepted = new Set<PeerLink>();
+  private readonly pauses = new PauseMonitor();
+  private readonly healthTimer: NodeJS.Timeout;
+  private pingSeq = 0;
   private isDisposed = false;
 
   constructor(
     private readonly identity: PeerIdentity,
     private readonly handlers: PeerHandlers,
-  ) {}
+    private readonly silence: Partial<SilenceOptions> = {},
+  ) {
+    this.healthTimer = setInterval(() => this.checkHealth(), HEALTH_PERIOD_MS);
+    this.healthTimer.unref();
+    this.pauses.onPause(pausedMs => this.forgivePause(pausedMs));
+  }
 
   /**
    * Starts to listen; port 0 takes a free one.
@@ -111,7 +99,7 @@
   link(address: PeerAddress): PeerLink {
     const existing = this.outgoing.get(address);
     if (existing) return existing;
-    const link = new PeerLink(address);
+    const link = new PeerLink(address, this.silence);
     this.outgoing.set(address, link);
     this.dial(link);
     return link;
@@ -127,13 +115,11 @@
    * reports it.
    */
   sendExpecting(address: PeerAddress, key: string, message: Message): void {
-    const link = this.link(address);
-    link.unanswered.set(key, message);
-    link.send(message);
+    this.link(address).sendExpecting(key, message);
   }
 
   settle(address: PeerAddress, key: string): void {
-    this.outgoing.get(address)?.unanswered.delete(key);
+    this.outgoing.get(address)?.settle(key);
   }
 
   /** Sends to every connected process, whoever opened the connection. */
@@ -145,13 +131,10 @@
     return [...this.outgoing.values(), ...this.accepted];
   }
 
-  /** Drops the connection to `address`; the next send opens a new one. */
-  disconnect(address: PeerAddress, cause: string): void {
-    this.outgoing.get(address)?.connection?.close(cause);
-  }
-
   [Symbol.dispose](): void {
     this.isDisposed = true;
+    clearInterval(this.healthTimer);
+    this.pauses[Symbol.dispose]();
     this.server?.close();
     for (const link of this.links()) link.connection?.close('disposed');
   }
@@ -166,7 +149,19 @@
   }
 
   private dial(link: PeerLink): void {
-    const [host, port] = splitAddress(link.address);
+    this.openSocket(
+      link.address,
+      socket => link.attach(this.wrap(link, socket, link.address)),
+      cause => this.declareDown(link, cause),
+    );
+  }
+
+  private openSocket(
+    address: PeerAddress,
+    onConnect: (socket: Socket) => void,
+    onFail: (cause: string) => void,
+  ): Socket {
+    const [host, port] = splitAddress(address);
     const socket = connect({host, port});
     const timer = setTimeout(
       () => socket.destroy(new Error('connect timed out')),
@@ -174,63 +169,148 @@
     );
     const fail = (error: Error) => {
       clearTimeout(timer);
-      this.outgoing.delete(link.address);
-      this.handlers.onLinkDown?.(link, error.message, link.unsent.splice(0));
-      this.handlers.onPeerDown?.(link.address, error.message, link.unanswered);
+      onFail(error.message);
     };
     socket.once('error', fail);
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.off('error', fail);
-      this.attach(link, socket, link.address);
-      for (const message of link.unsent.splice(0)) link.send(message);
+      if (this.isDisposed) socket.destroy();
+      else onConnect(socket);
     });
+    return socket;
   }
 
   private accept(socket: Socket): void {
     const link = new PeerLink('' as PeerAddress);
     this.accepted.add(link);
-    this.attach(link, socket, `${socket.remoteAddress}:${socket.remotePort}`);
+    const remote = `${socket.remoteAddress}:${socket.remotePort}`;
+    link.attach(this.wrap(link, socket, remote));
   }
 
-  private attach(link: PeerLink, socket: Socket, remote: string): void {
-    link.connection = new PeerConnection(socket, remote, {
-      onMessage: message => this.receive(message, link),
-      onClose: (_, cause) => this.remove(link, cause),
+  /** Wraps a connected socket and introduces this process on it. */
+  private wrap(link: PeerLink, socket: Socket, remote: string): PeerConnection {
+    const connection = new PeerConnection(socket, remote, {
+      onMessage: message => this.receive(message, link, connection),
+      onClose: (_, cause) => this.handleClose(link, connection, cause),
     });
-    link.send(this.hello());
+    connection.send(this.hello());
+    return connection;
   }
 
-  private receive(message: Message, link: PeerLink): void {
+  private receive(
+    message: Message,
+    link: PeerLink,
+    connection: PeerConnection,
+  ): void {
+    if (link.connection !== connection) return;
+    link.noteReceived();
     if (message.type === 'hello') link.hello = message;
-    link.isRedial = false;
+    if (message.type === 'ping') {
+      const {seq} = message;
+      connection.send({type: 'pong', seq, ...this.handlers.versions()});
+    }
     this.handlers.onMessage(message, link);
   }
 
-  private remove(link: PeerLink, cause: string): void {
+  private handleClose(
+    link: PeerLink,
+    connection: PeerConnection,
+    cause: string,
+  ): void {
+    if (link.connection !== connection) return;
+    link.connection = undefined;
     this.accepted.delete(link);
-    if (this.outgoing.get(link.address) === link) {
+    if (this.outgoing.get(link.address) !== link) return;
+    if (link.unansweredMessages.size === 0 || this.isDisposed) {
       this.outgoing.delete(link.address);
-    }
-    this.handlers.onLinkDown?.(link, cause, []);
-    if (link.unanswered.size === 0 || this.isDisposed) return;
-    if (link.isRedial) {
-      this.handlers.onPeerDown?.(link.address, cause, link.unanswered);
       return;
     }
-    this.redial(link);
+    if (link.isRedial) return this.declareDown(link, cause);
+    link.isRedial = true;
+    link.requeueUnanswered();
+    this.dial(link);
   }
 
-  /** Opens a new connection and sends again what was not answered. */
-  private redial(lost: PeerLink): void {
-    const link = new PeerLink(lost.address);
-    link.isRedial = true;
-    for (const [key, message] of lost.unanswered) {
-      link.unanswered.set(key, message);
-      link.unsent.push(message);
+  private declareDown(link: PeerLink, cause: string): void {
+    if (this.outgoing.get(link.address) !== link) return;
+    this.outgoing.delete(link.address);
+    const {connection} = link;
+    link.connection = undefined;
+    connection?.close(cause);
+    const {address, unansweredMessages, unsent} = link;
+    this.handlers.onPeerDown?.(address, cause, unansweredMessages, unsent);
+  }
+
+  private checkHealth(): void {
+    this.pauses.tick();
+    const nowMs = performance.now();
+    for (const link of [...this.outgoing.values()]) {
+      const decision = link.detector.handle({type: 'tick', nowMs});
+      if (decision) this.carryOut(link, decision);
+    }
+  }
+
+  private carryOut(link: PeerLink, decision: PeerDecision): void {
+    switch (decision) {
+      case 'send_ping': {
+        if (!link.connection) return;
+        const seq = ++this.pingSeq;
+        link.send({type: 'ping', seq, ...this.handlers.versions()});
+        return;
+      }
+      case 'probe':
+        return this.probe(link);
+      case 'declare_down':
+        return this.declareDown(link, 'silent');
+      default:
+        return;
+    }
+  }
+
+  /** Opens a second connection; a peer that answers on it is well. */
+  private probe(link: PeerLink): void {
+    const handle = (type: 'probe_answered' | 'probe_failed') =>
+      link.detector.handle({type, nowMs: performance.now()});
+    const fail = (cause: string) => {
+      if (handle('probe_failed') === 'declare_down') {
+        this.declareDown(link, cause);
+      }
+    };
+    const onConnect = (socket: Socket) => {
+      const connection = new PeerConnection(socket, link.address, {
+        onMessage: message => {
+          if (link.connection === connection) {
+            return this.receive(message, link, connection);
+          }
+          const isUseful = handle('probe_answered') === 'replace_connection';
+          if (!isUseful) return connection.close('probe not needed');
+          this.replaceConnection(link, connection);
+          this.receive(message, link, connection);
+        },
+        onClose: (_, cause) => {
+          if (link.connection !== connection) return fail(cause);
+          this.handleClose(link, connection, cause);
+        },
+      });
+      connection.send(this.hello());
+    };
+    this.openSocket(link.address, onConnect, fail);
+  }
+
+  private replaceConnection(link: PeerLink, connection: PeerConnection): void {
+    const silent = link.connection;
+    link.requeueUnanswered();
+    link.attach(connection);
+    silent?.close('replaced');
+    this.handlers.onConnectionReplaced?.(link.address);
+  }
+
+  private forgivePause(pausedMs: number): void {
+    const nowMs = performance.now();
+    for (const {detector} of this.outgoing.values()) {
+      detector.handle({type: 'paused', nowMs, pausedMs});
     }
-    this.outgoing.set(link.address, link);
-    this.dial(link);
   }
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,3 +40,4 @@
 export * from './core/placement/plan_chains.js';
 export * from './core/placement/throughput.js';
 export * from './core/placement/find_replacement.js';
+export * from './core/wire/peer_link.js';
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -11,6 +11,7 @@
   PeerNode,
   createInstanceId,
   loadChartDefinition,
+  toSilenceOptions,
   toId,
   type ChartEvent,
   type ConfigVersion,
@@ -59,14 +60,22 @@
       availabilityZone,
     } as const;
     this.peers = this.store.add(
-      new PeerNode(identity, {
-        versions: () => ({
-          configVersion: 0 as ConfigVersion,
-          planVersion: 0 as PlanVersion,
-        }),
-        onMessage: (message, link) => this.receive(message, link),
-        onPeerDown: address => this.stage?.reportPeerDown(address),
-      }),
+      new PeerNode(
+        identity,
+        {
+          versions: () => ({
+            configVersion: 0 as ConfigVersion,
+            planVersion: 0 as PlanVersion,
+          }),
+          onMessage: (message, link) => this.receive(message, link),
+          onPeerDown: address => this.stage?.reportPeerDown(address),
+          onConnectionReplaced: () =>
+            this.metrics.increment('azurecrank_retries_total', {
+              reason: 'connection_replaced',
+            }),
+        },
+        toSilenceOptions(settings),
+      ),
     );
     this.health = this.store.add(
       new HealthServer({
@@ -177,11 +186,6 @@
         link.send({type: 'cancelled', request, attempt, ran});
         return;
       }
-      case 'ping': {
-        const {seq, configVersion, planVersion} = message;
-        link.send({type: 'pong', seq, configVersion, planVersion});
-        return;
-      }
       default:
         return;
     }
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -55,6 +55,8 @@
   readonly runner: StageRunner;
   private readonly sequences = new Map<RequestId, Sequence>();
   private readonly log: ActivationLog;
+  /** The furthest input that came while an earlier one was running. */
+  private readonly pending = new Map<RequestId, Input>();
   private readonly lastTokens = new Map<RequestId, TokenOutput>();
   private info: EngineInfo | undefined;
 
@@ -82,14 +84,12 @@
       return this.reportWrongRange(message);
     }
     const sequence = this.findOrCreate(message);
-    const count =
-      message.type === 'step' ? message.tokens.length : message.count;
     this.settle(message.request, sequence.route);
     const decision = sequence.send({
       type: 'input',
       route: toRoute(message),
       position: message.position,
-      count,
+      count: countOf(message),
     });
     this.carryOut(message.request, sequence, decision, message);
   }
@@ -199,7 +199,8 @@
       case 'drop_stale':
         return this.countDropped('stale_attempt');
       case 'wait':
-        return this.countDropped('duplicate');
+        if (input) this.keepPending(request, input);
+        return;
       default:
         return;
     }
@@ -241,6 +242,7 @@
         cause: output.cause,
       });
       this.log.remove(request);
+      this.pending.delete(request);
       const decision = sequence.send({type: 'failed'});
       this.carryOut(request, sequence, decision);
       return this.removeIfReleased(request, sequence);
@@ -249,11 +251,26 @@
     if (sequence.isReleased) return this.removeIfReleased(request, sequence);
     if (output.kind === 'token') {
       this.lastTokens.set(request, output);
-      return this.sendToken(request, sequence, output);
+      this.sendToken(request, sequence, output);
+    } else {
+      const {position, count} = step;
+      this.log.append(request, position, count, output.data);
+      this.forward(request, sequence, {position, count, data: output.data});
     }
-    const {position, count} = step;
-    this.log.append(request, position, count, output.data);
-    this.forward(request, sequence, {position, count, data: output.data});
+    this.takePending(request);
+  }
+
+  private keepPending(request: RequestId, input: Input): void {
+    const kept = this.pending.get(request);
+    const isFurther = !kept || endOf(input) >= endOf(kept);
+    if (isFurther) this.pending.set(request, input);
+  }
+
+  private takePending(request: RequestId): void {
+    const input = this.pending.get(request);
+    if (!input) return;
+    this.pending.delete(request);
+    this.takeInput(input);
   }
 
   private resend(request: RequestId, sequence: Sequence): void {
@@ -316,6 +333,7 @@
     this.settle(request, sequence.route);
     this.sequences.delete(request);
     this.lastTokens.delete(request);
+    this.pending.delete(request);
     this.log.remove(request);
     this.options.engine.release([request]).catch((error: unknown) => {
       this.options.logger.warn('engine did not release a sequence', {
@@ -332,6 +350,14 @@
   }
 }
 
+function countOf(input: Input): number {
+  return input.type === 'step' ? input.tokens.length : input.count;
+}
+
+function endOf(input: Input): number {
+  return input.position + countOf(input);
+}
+
 function toRoute(message: Input): SequenceRoute {
   const {attempt, chain, stage, entry, rank} = message;
   return {attempt, chain, stage, entry, rank};
