--- /dev/null
+++ b/packages/azurecrank/bin/azurecrank.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/cli/main.js';
--- /dev/null
+++ b/packages/azurecrank/src/cli/explain/command.ts
@@ -0,0 +1,59 @@
+/** `azurecrank explain [REASON]`: what a refusal or a retry reason means. */
+import type {CommandModule} from 'yargs';
+import {hintForName} from '@azurecrank/core';
+import {
+  report,
+  withJson,
+  type CommandResult,
+  type JsonOption,
+} from '../common.js';
+import {ExitCode} from '../exit_codes.js';
+import {EXPLANATIONS, type Explanation} from './explanations.js';
+
+interface ExplainOptions extends JsonOption {
+  reason?: string;
+}
+
+export const explainCommand: CommandModule<object, ExplainOptions> = {
+  command: 'explain [reason]',
+  describe: 'Explain a refusal or retry reason, or list all',
+  builder: argv =>
+    withJson(argv).positional('reason', {
+      type: 'string',
+      describe: 'Reason from a problem document, a log line or a counter',
+    }),
+  handler: options => report(explain(options.reason), options),
+};
+
+function explain(reason: string | undefined): CommandResult {
+  if (reason === undefined) {
+    const text = EXPLANATIONS.map(formatShort).join('\n');
+    return {exitCode: ExitCode.ok, json: EXPLANATIONS, text};
+  }
+  const found = EXPLANATIONS.filter(one => one.reason === reason);
+  if (found.length > 0) {
+    const text = found.map(formatLong).join('\n');
+    return {exitCode: ExitCode.ok, json: found, text};
+  }
+  const names = [...new Set(EXPLANATIONS.map(one => one.reason))];
+  const message = `unknown reason "${reason}": ${hintForName(reason, names)}`;
+  const json = {outcome: 'usage', message};
+  return {exitCode: ExitCode.usage, json, text: message};
+}
+
+function formatShort({reason, kind, meaning}: Explanation): string {
+  return `${reason} (${kind}): ${meaning}`;
+}
+
+function formatLong(explanation: Explanation): string {
+  const {reason, kind, status, meaning, ran, action} = explanation;
+  const name = status
+    ? `${reason} (${kind}, HTTP ${status})`
+    : `${reason} (${kind})`;
+  return [
+    name,
+    `  meaning: ${meaning}`,
+    `  did the request run: ${ran}`,
+    `  what to do: ${action}`,
+  ].join('\n');
+}
--- /dev/null
+++ b/packages/azurecrank/src/cli/explain/explanations.ts
@@ -0,0 +1,146 @@
+/** One explanation for each refusal reason and each retry reason. */
+import {
+  REFUSALS,
+  refusalData,
+  type RefusalReason,
+  type RetryReason,
+} from '@azurecrank/core';
+
+export interface Explanation {
+  readonly reason: string;
+  readonly kind: 'refusal' | 'retry';
+  /** HTTP status; refusals only. */
+  readonly status?: number;
+  readonly meaning: string;
+  /** Whether the request took effect. */
+  readonly ran: string;
+  readonly action: string;
+}
+
+const NOT_RUN = 'no; it is safe to send it again';
+const SEE_RAN = 'see the field `ran` of the problem document';
+const MAYBE_CALLED =
+  'perhaps, if it had been sent to a server; see the field `ran`';
+
+const REFUSAL_RAN: Readonly<Record<RefusalReason, string>> = {
+  invalid_request: NOT_RUN,
+  unauthorized: NOT_RUN,
+  forbidden_service: NOT_RUN,
+  unknown_model: NOT_RUN,
+  unknown_service: NOT_RUN,
+  body_too_large: NOT_RUN,
+  key_reused: 'this request did not; the earlier one with the key may have',
+  claim_in_progress: 'unknown; the earlier call with the key has not ended',
+  queue_full: NOT_RUN,
+  workspace_queue_full: NOT_RUN,
+  caller_left: MAYBE_CALLED,
+  internal_error: SEE_RAN,
+  service_failed: SEE_RAN,
+  stage_lost: 'in part; the answer is incomplete',
+  outcome_unknown: 'unknown',
+  starting: NOT_RUN,
+  leaving: NOT_RUN,
+  no_chain: NOT_RUN,
+  no_server: NOT_RUN,
+  shed_for_higher_rank: NOT_RUN,
+  deadline_unreachable: NOT_RUN,
+  claim_store_unavailable: NOT_RUN,
+  claim_page_full: NOT_RUN,
+  retry_budget_exhausted: SEE_RAN,
+  wrong_range: 'no; the stage refused the message before it ran a layer',
+  stale_plan: 'no; the chain was refused before it ran a layer',
+  deadline_exceeded: MAYBE_CALLED,
+};
+
+type RetryText = Pick<Explanation, 'meaning' | 'ran' | 'action'>;
+
+const NO_ACTION = 'nothing; the system continues by itself';
+
+const RETRIES: Readonly<Record<RetryReason, RetryText>> = {
+  server_leaving: {
+    meaning: 'A server that shuts down refused; another one is used at once.',
+    ran: 'no; the refusal confirms it',
+    action: NO_ACTION,
+  },
+  refused_elsewhere: {
+    meaning: 'One candidate was full or starting; one other is tried.',
+    ran: 'no; the refusal confirms it',
+    action: 'if it is frequent, add servers or lower the load',
+  },
+  connect_failed: {
+    meaning: 'The connection could not be opened; another server is used.',
+    ran: 'no; it never left the process',
+    action: 'check the server named as peer and the network to it',
+  },
+  connection_replaced: {
+    meaning: 'A silent connection was replaced and messages were sent again.',
+    ran: 'at most once; only messages that are safe to repeat are sent again',
+    action: 'if it is frequent, check the network to the peer',
+  },
+  stage_lost: {
+    meaning: 'A stage of the chain was lost; a replacement continues.',
+    ran: 'each layer once for each token; only the lost stage is rebuilt',
+    action: 'check the server named as peer',
+  },
+  stage_silent: {
+    meaning: 'A stage stopped answering and was replaced.',
+    ran: 'each layer once for each token; late answers are dropped',
+    action: 'check the server named as peer for a freeze',
+  },
+  engine_stalled: {
+    meaning: 'An engine did not finish a step in time; it was replaced.',
+    ran: 'each layer once for each token; late answers are dropped',
+    action: 'check the engine beside the process named as peer',
+  },
+  wrong_range: {
+    meaning: 'A stage does not hold the layers; the plan is refreshed.',
+    ran: 'no; the stage refused before it ran a layer',
+    action: NO_ACTION,
+  },
+  stale_plan: {
+    meaning: 'The chain is not in the current plan; the plan is refreshed.',
+    ran: 'no; it was refused before it ran a layer',
+    action: NO_ACTION,
+  },
+  preempted: {
+    meaning: 'An overnight sequence made room for an urgent request.',
+    ran: 'in part; generated tokens are kept and it continues later',
+    action: 'if it is frequent, add servers or move work to quiet hours',
+  },
+  kv_conflict: {
+    meaning: 'Another process wrote the key first; it is read again.',
+    ran: 'no; the write had no effect',
+    action: NO_ACTION,
+  },
+  kv_unavailable: {
+    meaning: 'The key-value service gave no answer to a read.',
+    ran: 'no; reads have no effect',
+    action: 'check the key-value service; serving continues meanwhile',
+  },
+  kv_answer_lost: {
+    meaning: 'The answer to a write was lost; it is resolved by a read.',
+    ran: 'at most once; the read shows whether the write took effect',
+    action: NO_ACTION,
+  },
+};
+
+export const EXPLANATIONS: readonly Explanation[] = [
+  ...(Object.keys(REFUSALS) as RefusalReason[]).map(explainRefusal),
+  ...(Object.keys(RETRIES) as RetryReason[]).map((reason): Explanation => ({
+    reason,
+    kind: 'retry',
+    ...RETRIES[reason],
+  })),
+];
+
+function explainRefusal(reason: RefusalReason): Explanation {
+  const {status, title, hint} = refusalData(reason);
+  return {
+    reason,
+    kind: 'refusal',
+    status,
+    meaning: `${title}.`,
+    ran: REFUSAL_RAN[reason],
+    action: hint,
+  };
+}
