--- /dev/null
+++ b/packages/azurecrank/test/cli_test.ts
@@ -0,0 +1,132 @@
+import {execFile} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {REFUSALS, RETRY_REASONS} from '@azurecrank/core';
+import {KeyValueStandin} from '@azurecrank/standins';
+import {expect} from 'earl';
+
+const BINARY = join(import.meta.dirname, '../../bin/azurecrank.js');
+
+interface Run {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+function run(...args: string[]): Promise<Run> {
+  return new Promise(resolve => {
+    const child = execFile(
+      process.execPath,
+      [BINARY, ...args],
+      (_, stdout, stderr) =>
+        resolve({exitCode: child.exitCode ?? -1, stdout, stderr}),
+    );
+  });
+}
+
+describe('azurecrank', () => {
+  let standin: KeyValueStandin;
+  let directory: string;
+  let serviceArgs: string[];
+  const write = (name: string, text: string) => {
+    const file = join(directory, name);
+    writeFileSync(file, text);
+    return file;
+  };
+
+  before(async () => {
+    standin = await new KeyValueStandin().start();
+    directory = mkdtempSync(join(tmpdir(), 'azurecrank-cli-'));
+    serviceArgs = ['--key-value-url', standin.url];
+  });
+  after(() => {
+    standin[Symbol.dispose]();
+    rmSync(directory, {recursive: true});
+  });
+
+  describe('help and usage', () => {
+    for (const name of ['check', 'apply', 'show', 'status', 'explain']) {
+      it(`${name} --help`, async () => {
+        const {exitCode, stdout} = await run(name, '--help');
+        expect(exitCode).toEqual(0);
+        expect(stdout).toInclude('--json');
+      });
+    }
+
+    it('exits with 2 for an unknown command, option or file', async () => {
+      expect((await run('chek')).exitCode).toEqual(2);
+      expect((await run('explain', '--jsn')).exitCode).toEqual(2);
+      expect((await run('check', '/no/such/file')).exitCode).toEqual(2);
+    });
+  });
+
+  describe('check', () => {
+    it('exits with 1 and names file, line, key and hint', async () => {
+      const file = write('bad.toml', 'revision = 0\nworkspace = 1\n');
+      const {exitCode, stderr} = await run('check', file);
+      expect(exitCode).toEqual(1);
+      expect(stderr).toInclude('bad.toml:2: workspace: unknown key');
+      expect(stderr).toInclude('"workspaces"');
+    });
+  });
+
+  describe('apply, show and status', () => {
+    it('goes from accepted to conflict and to not reachable', async () => {
+      const first = write('first.toml', 'revision = 0\n# first\n');
+      const other = write('other.toml', 'revision = 0\n# other\n');
+      const accepted = await run('apply', first, ...serviceArgs, '--json');
+      expect(JSON.parse(accepted.stdout)).toEqual({
+        outcome: 'accepted',
+        version: 1,
+      });
+      expect((await run('apply', first, ...serviceArgs)).exitCode).toEqual(0);
+      const conflict = await run('apply', other, ...serviceArgs);
+      expect(conflict.exitCode).toEqual(3);
+      expect(conflict.stderr).toInclude('yours 2: # other');
+      const shown = await run('show', ...serviceArgs);
+      expect(shown.stdout).toEqual('revision = 1\n# first\n');
+      const status = await run('status', ...serviceArgs, '--json');
+      expect(JSON.parse(status.stdout).config.version).toEqual(1);
+      standin.faults.down = true;
+      const down = await run('apply', first, ...serviceArgs);
+      standin.faults.down = false;
+      expect(down.exitCode).toEqual(5);
+    });
+
+    it('exits with 4 when no answer to the write arrives', async () => {
+      const file = write('next.toml', 'revision = 1\n# next\n');
+      // Reads are answered; writes have no effect and no answer.
+      const lossy = new KeyValueStandin();
+      const routes = lossy as unknown as {put: () => unknown};
+      routes.put = () => {
+        lossy.faults.loseAnswers = 1;
+        return {status: 200};
+      };
+      await lossy.start();
+      const empty = write('empty.toml', 'revision = 0\n');
+      const url = ['--key-value-url', lossy.url];
+      const unknown = await run('apply', empty, ...url);
+      lossy[Symbol.dispose]();
+      expect(unknown.exitCode).toEqual(4);
+      expect((await run('apply', file, ...serviceArgs)).exitCode).toEqual(0);
+    });
+  });
+
+  describe('explain', () => {
+    it('lists every refusal and retry reason', async () => {
+      const {stdout} = await run('explain', '--json');
+      const reasons = (JSON.parse(stdout) as {reason: string}[]).map(
+        one => one.reason,
+      );
+      expect(reasons).toEqual([...Object.keys(REFUSALS), ...RETRY_REASONS]);
+    });
+
+    it('suggests the nearest reason', async () => {
+      const {exitCode, stderr} = await run('explain', 'queue_ful');
+      expect(exitCode).toEqual(2);
+      expect(stderr).toInclude('"queue_full"');
+    });
+  });
+});
--- a/packages/core/src/core/configuration/key_lines.ts
+++ b/packages/core/src/core/configuration/key_lines.ts
@@ -18,6 +18,8 @@
 
 export class KeyLines {
   private readonly found = new Map<string, Found>();
+  /** Tables that are only named as part of longer keys. */
+  private readonly implied = new Map<string, Found>();
   private readonly byLine = new Map<number, Found>();
   /** Paths given more than once, by the line of the later one. */
   private readonly firstLines = new Map<number, number>();
@@ -60,7 +62,8 @@
 
   private nearest(path: KeyPath): Found | undefined {
     for (let length = path.length; length > 0; length--) {
-      const found = this.found.get(path.slice(0, length).join(SEPARATOR));
+      const key = path.slice(0, length).join(SEPARATOR);
+      const found = this.found.get(key) ?? this.implied.get(key);
       if (found) return found;
     }
     return undefined;
@@ -94,6 +97,12 @@
     this.byLine.set(line, found);
     if (earlier) this.firstLines.set(line, earlier.line);
     else this.found.set(key, found);
+    for (let length = path.length - 1; length > 0; length--) {
+      const parent = path.slice(0, length);
+      const parentKey = parent.join(SEPARATOR);
+      if (this.implied.has(parentKey)) break;
+      this.implied.set(parentKey, {path: parent, line, endLine: line});
+    }
     return found;
   }
 
--- a/packages/core/src/core/configuration/table_reader.ts
+++ b/packages/core/src/core/configuration/table_reader.ts
@@ -57,6 +57,9 @@
 }
 
 export class TableReader {
+  /** Keys that were given in another unit; they are not reported as missing. */
+  private readonly misspelled = new Set<string>();
+
   constructor(
     private readonly list: ProblemList,
     readonly path: KeyPath,
@@ -78,6 +81,7 @@
 
   /** Reports a missing key at the line of its table. */
   missing(key: string, hint: string): void {
+    if (this.misspelled.has(key)) return;
     this.problem(key, 'missing key', hint);
   }
 
@@ -190,6 +194,7 @@
       this.problem(key, 'unknown key', hintForName(key, known));
       return;
     }
+    this.misspelled.add(meant.key);
     const unit = unitOfKey(meant.key)?.name ?? '';
     const example = meant.value ?? '...';
     this.problem(
