Follow configuration and plan in every process; plan under a lease

Cause: the thin path grouped registrations by itself and took any bearer key. Change: entries and sides follow the accepted configuration and the plan through DocumentExchange; one entry holds the placement lease and writes the plan by compare-and-swap; sides reconcile their engines; entries choose chains through the routing decisions and retry within a budget. Ruled out: registrations read by every entry (370 times 610 records). Conclusion: provisional planner and directory are gone.

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -80,8 +80,15 @@
     excluded: ReadonlySet<ServerId>,
   ): Chain | undefined;
   /** Whether a retry for this reason is allowed now. */
-  abstract allowRetry(reason: RetryReason): boolean;
+  abstract allowRetry(
+    reason: RetryReason,
+    ran: RanState,
+    retriesForReason: number,
+    remainingMs: number,
+  ): boolean;
   abstract recordSuccess(): void;
+  /** A server has refused work because it is leaving. */
+  abstract noteLeaving(server: ServerId): void;
 }
 
 export interface GenerationDependencies {
@@ -109,6 +116,7 @@
     {},
   );
   private readonly excluded = new Set<ServerId>();
+  private readonly retries = new Map<RetryReason, number>();
   private readonly generated: number[] = [];
   private hasSentStep = false;
   private promptTokens: readonly number[] = [];
@@ -303,7 +311,7 @@
     if (!this.chain || !lost) return;
     if (!this.runner.send({type: 'stage_lost'})) return;
     this.excluded.add(lost.server);
-    if (!this.deps.policy.allowRetry(reason)) {
+    if (!this.mayRetry(reason)) {
       const options = {ran: this.ranState(), peer: lost.server};
       return this.fail(refuse('retry_budget_exhausted', 'recover', options));
     }
@@ -355,7 +363,7 @@
   private openElsewhere(reason: RetryReason): void {
     const head = this.chain?.stages[0];
     if (head) this.excluded.add(head.server);
-    if (!this.deps.policy.allowRetry(reason)) {
+    if (!this.mayRetry(reason)) {
       return this.fail(refuse('retry_budget_exhausted', 'route'));
     }
     this.countRetry(reason);
@@ -447,7 +455,17 @@
     return this.generated.length > 0 ? 'ran' : 'unknown';
   }
 
+  private mayRetry(reason: RetryReason): boolean {
+    return this.deps.policy.allowRetry(
+      reason,
+      this.ranState(),
+      this.retries.get(reason) ?? 0,
+      this.spec.deadlineAtMs - performance.now(),
+    );
+  }
+
   private countRetry(reason: RetryReason): void {
+    this.retries.set(reason, (this.retries.get(reason) ?? 0) + 1);
     this.deps.metrics.increment('azurecrank_retries_total', {reason});
     const {request, workspace, rank} = this.spec;
     const fields = {request, workspace, rank, step: 'recover', reason};
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -4,7 +4,12 @@
   ChartRunner,
   DisposableStore,
   HealthServer,
+  DocumentExchange,
+  HttpHostList,
   HttpKeyValueService,
+  PauseMonitor,
+  toId,
+  type Hello,
   Logger,
   Metrics,
   PeerNode,
@@ -14,18 +19,23 @@
   loadChartDefinition,
   toSilenceOptions,
   type ChartEvent,
-  type ConfigVersion,
   type EntrySettings,
   type Message,
   type PeerAddress,
-  type PlanVersion,
+  type PeerLink,
+  type ServerId,
 } from '@azurecrank/core';
+import {ConfigDirectory} from '../gateway/config_directory.js';
 import {Gateway} from '../gateway/gateway.js';
 import {GenerationTable} from '../generation/generation_table.js';
+import {LeaseHolder} from '../placement/lease_holder.js';
+import {PlacementRunner} from '../placement/placement_runner.js';
+import {ChainRouter} from '../routing/chain_router.js';
 import {PeerTransport} from './peer_transport.js';
-import {RegistrationPlanner} from './registration_planner.js';
 
 const DRAIN_CHECK_MS = 50;
+const PLACEMENT_PERIOD_MS = 1000;
+const RECONNECT_PERIOD_MS = 2000;
 
 export class EntryProcess implements Disposable {
   readonly metrics = new Metrics();
@@ -36,7 +46,9 @@
   private readonly peers: PeerNode;
   private readonly health: HealthServer;
   private readonly generations = new GenerationTable();
-  private readonly planner: RegistrationPlanner;
+  private readonly documents: DocumentExchange;
+  private readonly router: ChainRouter;
+  private readonly pauses = new PauseMonitor();
   private readonly lifecycle = new ChartRunner<object, ChartEvent>(
     new Chart(loadChartDefinition('process')),
     {},
@@ -60,12 +72,9 @@
       new PeerNode(
         identity,
         {
-          versions: () => ({
-            configVersion: 0 as ConfigVersion,
-            planVersion: 0 as PlanVersion,
-          }),
-          onMessage: message => this.receive(message),
-          onPeerDown: address => this.generations.onPeerDown(address),
+          versions: () => this.documents.versions(),
+          onMessage: (message, link) => this.receive(message, link),
+          onPeerDown: address => this.notePeerDown(address),
           onConnectionReplaced: () =>
             this.metrics.increment('azurecrank_retries_total', {
               reason: 'connection_replaced',
@@ -74,7 +83,20 @@
         toSilenceOptions(settings),
       ),
     );
-    this.planner = this.store.add(new RegistrationPlanner(this.keyValue));
+    this.documents = this.store.add(
+      new DocumentExchange({
+        node,
+        availabilityZone,
+        keyValue: this.keyValue,
+        links: () => this.peers.links(),
+        metrics: this.metrics,
+      }),
+    );
+    this.router = new ChainRouter({
+      ...settings,
+      plan: () => this.documents.plan,
+    });
+    this.store.add(this.pauses);
     this.health = this.store.add(
       new HealthServer({
         isReady: () => this.lifecycle.state === 'ready',
@@ -96,11 +118,11 @@
     const {maxBodyBytes, maxRequests} = this.settings;
     const gateway = new Gateway({
       instance: this.instance,
-      directory: this.planner,
+      directory: new ConfigDirectory(() => this.documents.config),
       generations: this.generations,
       generation: {
         transport: new PeerTransport(this.peers),
-        policy: this.planner,
+        policy: this.router,
         metrics: this.metrics,
         logger: this.logger,
       },
@@ -114,7 +136,7 @@
     });
     gateway.addRoutes(this.health.app);
     const port = await this.health.listen(address, httpPort);
-    await this.planner.start();
+    await this.follow();
     this.lifecycle.send({type: 'configured'});
     this.logger.info('ready', {peer: this.peers.address});
     return port;
@@ -144,6 +166,52 @@
     this.store[Symbol.dispose]();
   }
 
+  /** Follows configuration and plan; returns once there is a configuration. */
+  private async follow(): Promise<void> {
+    for (const peer of this.settings.seedPeers) {
+      this.peers.link(peer as PeerAddress);
+    }
+    this.documents.onChange(() => this.connectHeads());
+    this.documents.start();
+    const {node, keyValueUrl, hostListUrl, placementLeaseMs} = this.settings;
+    const {logger, metrics} = this;
+    // Waiting watches hold connections, so the lease has its own client.
+    const keyValue = this.store.add(new HttpKeyValueService(keyValueUrl));
+    const lease = new LeaseHolder(keyValue, node, placementLeaseMs, logger);
+    this.pauses.onPause(() => lease.notePause());
+    const placement = new PlacementRunner({
+      keyValue,
+      hostList: hostListUrl ? new HttpHostList(hostListUrl) : undefined,
+      lease,
+      metrics,
+      logger,
+      config: () => this.documents.config,
+      periodMs: PLACEMENT_PERIOD_MS,
+      campaignMs: placementLeaseMs / 2,
+    });
+    this.store.add(placement).start();
+    this.store.interval(() => this.connectHeads(), RECONNECT_PERIOD_MS);
+    await this.documents.whenConfigured();
+  }
+
+  /** Connections bring load reports and show when a lost server is back. */
+  private connectHeads(): void {
+    const {router, peers} = this;
+    const addresses = [...router.headAddresses(), ...router.downAddresses()];
+    for (const address of addresses) peers.link(address);
+  }
+
+  private notePeerDown(address: PeerAddress): void {
+    const server = this.router.serverAt(address);
+    if (server) this.router.membership.noteDown(server);
+    this.generations.onPeerDown(address);
+  }
+
+  private noteHello({address, instance}: Hello): void {
+    const server = this.router.serverAt(address);
+    if (server) this.router.membership.noteHello(server, instance);
+  }
+
   private declareCounters(): void {
     this.metrics.declareCounter(
       'azurecrank_refusals_total',
@@ -159,8 +227,14 @@
     );
   }
 
-  private receive(message: Message): void {
+  private receive(message: Message, link: PeerLink): void {
+    if (message.type === 'hello') this.noteHello(message);
+    if (this.documents.handle(message, link)) return;
     switch (message.type) {
+      case 'load':
+        return this.router.takeReport(message);
+      case 'leaving':
+        return this.router.noteLeaving(toId<ServerId>(message.node));
       case 'granted':
       case 'refused':
       case 'token':
--- /dev/null
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -0,0 +1,212 @@
+/** Chooses chains and replacements from the plan and what peers report. */
+import {
+  LoadView,
+  MembershipView,
+  PrefixIndex,
+  RetryBudget,
+  chooseChain,
+  chooseSubset,
+  decideRetry,
+  findReplacement,
+  prefixHashes,
+  rankIndex,
+  type Chain,
+  type ChainStage,
+  type LoadReport,
+  type ModelId,
+  type PeerAddress,
+  type Plan,
+  type PlanVersion,
+  type RanState,
+  type RetryReason,
+  type ServerId,
+} from '@azurecrank/core';
+import {
+  GenerationPolicy,
+  type GenerationRequest,
+} from '../generation/generation.js';
+
+export interface ChainRouterOptions {
+  readonly node: string;
+  readonly availabilityZone: string;
+  readonly region: string;
+  readonly chainSubsetSize: number;
+  readonly plan: () => Plan;
+}
+
+const CHARS_PER_TOKEN = 4;
+const SAME_ZONE_MS = 0.05;
+const OTHER_ZONE_MS = 0.25;
+
+export class ChainRouter extends GenerationPolicy {
+  readonly membership = new MembershipView();
+  private readonly load = new LoadView();
+  private readonly prefixes = new PrefixIndex();
+  private readonly budget = new RetryBudget(performance.now());
+  private readonly subsets = new Map<ModelId, Chain[]>();
+  private servers = new Map<PeerAddress, ServerId>();
+  private planVersion: PlanVersion | undefined;
+
+  constructor(private readonly options: ChainRouterOptions) {
+    super();
+  }
+
+  /** Heads whose load this process follows. */
+  headAddresses(): PeerAddress[] {
+    this.refresh();
+    const chains = [...this.subsets.values()].flat();
+    return chains.map(({stages}) => stages[0].address);
+  }
+
+  /** Every server of the plan, by peer address. */
+  serverAt(address: PeerAddress): ServerId | undefined {
+    this.refresh();
+    return this.servers.get(address);
+  }
+
+  /** Servers of the plan that could not be reached last time. */
+  downAddresses(): PeerAddress[] {
+    this.refresh();
+    return [...this.servers]
+      .filter(([, server]) => this.membership.ineligibility(server) === 'down')
+      .map(([address]) => address);
+  }
+
+  takeReport(report: LoadReport): void {
+    const nowMs = performance.now();
+    this.load.reported(report, nowMs);
+    this.prefixes.applyReport(report.server, report.prefixes, nowMs);
+  }
+
+  override chooseChain(
+    request: GenerationRequest,
+    excluded: ReadonlySet<ServerId>,
+  ): Chain | undefined {
+    this.refresh();
+    const nowMs = performance.now();
+    const hashes = prefixHashes(request.prompt);
+    const rank = rankIndex(request.rank);
+    const choice = chooseChain(
+      {
+        chains: this.usableChains(request.model),
+        rankIndex: rank,
+        hashes,
+        excluded,
+        nowMs,
+        random: [Math.random(), Math.random()],
+      },
+      {
+        load: this.load,
+        prefixes: this.prefixes,
+        linkMs: chain => this.linkMs(chain),
+      },
+    );
+    if (!choice) return undefined;
+    const head = choice.chain.stages[0].server;
+    this.load.sent(head, rank, costTokens(request), nowMs);
+    this.prefixes.noteSent(head, hashes, nowMs);
+    return choice.chain;
+  }
+
+  override replaceStage(
+    chain: Chain,
+    stage: number,
+    excluded: ReadonlySet<ServerId>,
+  ): Chain | undefined {
+    const unusable = this.unusableServers();
+    const all = new Set([...excluded, ...unusable]);
+    const plan = this.options.plan();
+    const found = findReplacement(plan, [], chain, stage, all);
+    return found && withStage(chain, stage, found);
+  }
+
+  override allowRetry(
+    reason: RetryReason,
+    ran: RanState,
+    retriesForReason: number,
+    remainingMs: number,
+  ): boolean {
+    const nowMs = performance.now();
+    // Model steps are safe to repeat: stages answer duplicates from their log.
+    const safeToRepeat = true;
+    const decision = decideRetry(
+      {reason, ran, safeToRepeat, retriesForReason, remainingMs, nowMs},
+      this.budget,
+    );
+    return decision.kind === 'retry';
+  }
+
+  override recordSuccess(): void {
+    this.budget.succeeded(performance.now());
+  }
+
+  override noteLeaving(server: ServerId): void {
+    this.membership.noteLeaving(server);
+  }
+
+  /** Falls back to the whole plan when nothing in the subset is usable. */
+  private usableChains(model: ModelId): Chain[] {
+    const subset = this.subsets.get(model) ?? [];
+    const usable = subset.filter(chain => this.isUsable(chain));
+    if (usable.length > 0) return usable;
+    return this.options
+      .plan()
+      .chains.filter(chain => chain.model === model && this.isUsable(chain));
+  }
+
+  private isUsable({stages}: Chain): boolean {
+    return stages.every(({server}) => this.membership.mayGetNewWork(server));
+  }
+
+  private unusableServers(): ServerId[] {
+    this.refresh();
+    return [...this.servers.values()].filter(
+      server => !this.membership.mayGetNewWork(server),
+    );
+  }
+
+  private linkMs({stages}: Chain): number {
+    const zones = stages.map(({availabilityZone}) => availabilityZone);
+    const hops = [this.options.availabilityZone, ...zones];
+    return zones.reduce(
+      (sumMs, zone, index) =>
+        sumMs + (zone === hops[index] ? SAME_ZONE_MS : OTHER_ZONE_MS),
+      0,
+    );
+  }
+
+  private refresh(): void {
+    const plan = this.options.plan();
+    if (plan.version === this.planVersion) return;
+    this.planVersion = plan.version;
+    this.servers = new Map(
+      [
+        ...plan.chains.flatMap(({stages}) => stages),
+        ...Object.values(plan.services).flat(),
+      ].map(({address, server}) => [address, server]),
+    );
+    this.subsets.clear();
+    for (const model of new Set(plan.chains.map(chain => chain.model))) {
+      const chains = plan.chains.filter(chain => chain.model === model);
+      const {region, chainSubsetSize} = this.options;
+      const subset = chooseSubset(
+        chains,
+        this.options,
+        () => region,
+        chainSubsetSize,
+      );
+      this.subsets.set(model, subset);
+    }
+  }
+}
+
+function costTokens({prompt, maxTokens}: GenerationRequest): number {
+  return prompt.length / CHARS_PER_TOKEN + maxTokens;
+}
+
+function withStage(chain: Chain, index: number, stage: ChainStage): Chain {
+  const stages = chain.stages.map((current, position) =>
+    position === index ? stage : current,
+  );
+  return {...chain, stages};
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -2,7 +2,14 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {DisposableStore, toId, type EngineInfo} from '@azurecrank/core';
+import {
+  DisposableStore,
+  HttpKeyValueService,
+  applyConfig,
+  toId,
+  type ApplyOutcome,
+  type EngineInfo,
+} from '@azurecrank/core';
 import {Forwarder} from '@azurecrank/standins';
 import {ChildProgram} from './child_process.js';
 
@@ -80,6 +87,16 @@
     return standin;
   }
 
+  /** Accepts an operators' file, as `azurecrank apply` does. */
+  async applyConfig(text: string, author = 'fleet'): Promise<ApplyOutcome> {
+    const keyValue = new HttpKeyValueService(this.keyValueUrl);
+    try {
+      return await applyConfig(keyValue, text, author);
+    } finally {
+      keyValue[Symbol.dispose]();
+    }
+  }
+
   async startStandin(kind: string, options: object): Promise<RunningStandin> {
     const args = [kind, JSON.stringify(options)];
     const program = this.start(kind, 'standin', args);
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,3 +2,4 @@
 export * from './fleet/child_process.js';
 export * from './fleet/fleet.js';
 export * from './fleet/chat_client.js';
+export * from './fleet/operator_file.js';
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -32,6 +32,7 @@
 
 export interface PeerHandlers {
   versions(): PeerVersions;
+  /** Also answers `ping`, which keeps the connection from being replaced. */
   onMessage(message: Message, from: PeerLink): void;
   /**
    * A process cannot be reached any more, by a new connection either.
@@ -206,10 +207,6 @@
     if (link.connection !== connection) return;
     link.noteReceived();
     if (message.type === 'hello') link.hello = message;
-    if (message.type === 'ping') {
-      const {seq} = message;
-      connection.send({type: 'pong', seq, ...this.handlers.versions()});
-    }
     this.handlers.onMessage(message, link);
   }
 
--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -4,7 +4,9 @@
  */
 import {
   type Cancel,
+  RANKS,
   type Engine,
+  type LoadReport,
   type Logger,
   type Metrics,
   type Open,
@@ -45,6 +47,29 @@
     return this.waiting.length;
   }
 
+  /** What entries need to know to choose between chains. */
+  load(): Pick<
+    LoadReport,
+    'queueCostByRank' | 'running' | 'limit' | 'stepMs' | 'prefixes'
+  > {
+    const queueCostByRank = RANKS.map(rank =>
+      this.waiting
+        .filter(open => open.rank === rank)
+        .reduce((sum, open) => sum + open.maxTokens, 0),
+    );
+    const stepMs = this.options.metrics.percentileMs(
+      'azurecrank_engine_batch_ms',
+      50,
+    );
+    return {
+      queueCostByRank,
+      running: this.slots.size,
+      limit: this.slotLimit,
+      stepMs,
+      prefixes: [],
+    };
+  }
+
   setSlotLimit(limit: number): void {
     this.slotLimit = limit;
     this.grantWaiting();
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -1,35 +1,33 @@
-/** The side process: wires connections, stage, head and lifecycle together. */
+/** The side process: wires connections, backend server and lifecycle. */
 import {
-  ChartRunner,
   Chart,
+  ChartRunner,
   DisposableStore,
+  DocumentExchange,
   HealthServer,
-  HttpEngine,
   HttpKeyValueService,
   Logger,
   Metrics,
+  PauseMonitor,
   PeerNode,
   createInstanceId,
   loadChartDefinition,
-  toSilenceOptions,
   toId,
+  toSilenceOptions,
   type ChartEvent,
-  type ConfigVersion,
-  type Engine,
+  type EngineInfo,
   type Message,
-  type PeerLink,
   type PeerAddress,
-  type PlanVersion,
-  type RegisteredEngine,
+  type PeerLink,
   type ServiceId,
   type SideSettings,
 } from '@azurecrank/core';
-import {Head} from '../head/head.js';
-import {registerServer} from '../registration/registration.js';
-import {Stage} from '../sequences/stage.js';
-import {PeerTransport} from './peer_transport.js';
+import {
+  registerServer,
+  type RegistrationDraft,
+} from '../registration/registration.js';
+import {ModelServer} from './model_server.js';
 
-const ORPHAN_SWEEP_MS = 1000;
 const DRAIN_CHECK_MS = 50;
 
 export class SideProcess implements Disposable {
@@ -39,43 +37,29 @@
   private readonly logger: Logger;
   private readonly keyValue: HttpKeyValueService;
   private readonly peers: PeerNode;
+  private readonly documents: DocumentExchange;
   private readonly health: HealthServer;
+  private readonly pauses = this.store.add(new PauseMonitor());
   private readonly lifecycle = new ChartRunner<object, ChartEvent>(
     new Chart(loadChartDefinition('process')),
     {},
   );
-  private stage: Stage | undefined;
-  private head: Head | undefined;
+  private model: ModelServer | undefined;
 
   constructor(private readonly settings: SideSettings) {
-    const {node, availabilityZone, logLevel} = settings;
+    const {node, logLevel} = settings;
     this.logger = new Logger(node, logLevel);
     this.keyValue = this.store.add(
       new HttpKeyValueService(settings.keyValueUrl),
     );
-    const identity = {
-      node,
-      instance: this.instance,
-      role: 'side',
-      availabilityZone,
-    } as const;
-    this.peers = this.store.add(
-      new PeerNode(
-        identity,
-        {
-          versions: () => ({
-            configVersion: 0 as ConfigVersion,
-            planVersion: 0 as PlanVersion,
-          }),
-          onMessage: (message, link) => this.receive(message, link),
-          onPeerDown: address => this.stage?.reportPeerDown(address),
-          onConnectionReplaced: () =>
-            this.metrics.increment('azurecrank_retries_total', {
-              reason: 'connection_replaced',
-            }),
-        },
-        toSilenceOptions(settings),
-      ),
+    this.peers = this.store.add(this.createPeerNode());
+    this.documents = this.store.add(
+      new DocumentExchange({
+        ...settings,
+        keyValue: this.keyValue,
+        links: () => this.peers.links(),
+        metrics: this.metrics,
+      }),
     );
     this.health = this.store.add(
       new HealthServer({
@@ -92,12 +76,20 @@
 
   /** Listens, registers the server and takes work. Returns the HTTP port. */
   async start(): Promise<number> {
-    const {address, peerPort, httpPort, engineUrl} = this.settings;
-    const {advertisedAddress} = this.settings;
+    const {address, peerPort, httpPort, advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
-    const engine = engineUrl ? await this.startStage(engineUrl) : undefined;
-    await this.register(engine);
+    const engine = await this.startModel();
+    const registration = await registerServer(
+      this.keyValue,
+      this.draftRegistration('live', engine),
+    );
+    this.model?.followPlan(registration);
+    for (const peer of this.settings.seedPeers) {
+      this.peers.link(peer as PeerAddress);
+    }
+    this.documents.onChange(() => void this.model?.reconcile());
+    this.documents.start();
     this.lifecycle.send({type: 'configured'});
     this.logger.info('ready', {peer: this.peers.address});
     return port;
@@ -107,7 +99,7 @@
   async stop(): Promise<void> {
     if (!this.lifecycle.send({type: 'stop'})) return;
     this.logger.info('leaving');
-    this.head?.leave();
+    this.model?.leave();
     this.peers.broadcast({type: 'leaving', node: this.settings.server});
     await this.drain();
     this[Symbol.dispose]();
@@ -117,77 +109,75 @@
     this.store[Symbol.dispose]();
   }
 
+  private createPeerNode(): PeerNode {
+    const {node, availabilityZone} = this.settings;
+    const {instance} = this;
+    const identity = {node, instance, role: 'side', availabilityZone} as const;
+    const handlers = {
+      versions: () => this.documents.versions(),
+      onMessage: (message: Message, link: PeerLink) =>
+        this.receive(message, link),
+      onPeerDown: (address: PeerAddress) => this.model?.onPeerDown(address),
+      onConnectionReplaced: () => {
+        const reason = 'connection_replaced';
+        this.metrics.increment('azurecrank_retries_total', {reason});
+      },
+    };
+    return new PeerNode(identity, handlers, toSilenceOptions(this.settings));
+  }
+
   private async drain(): Promise<void> {
     const deadlineMs = performance.now() + this.settings.drainDeadlineMs;
-    while ((this.stage?.size ?? 0) > 0 && performance.now() < deadlineMs) {
+    while (!this.isIdle() && performance.now() < deadlineMs) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
-    const isDrained = (this.stage?.size ?? 0) === 0;
+    const isDrained = this.isIdle();
     this.lifecycle.send({type: isDrained ? 'drained' : 'deadline'});
     this.logger.info('stopped', {drained: isDrained});
   }
 
-  private async startStage(engineUrl: string): Promise<RegisteredEngine> {
-    const engine: Engine = this.store.add(new HttpEngine(engineUrl));
-    const info = await engine.info();
-    const common = {
-      engine,
-      transport: new PeerTransport(this.peers),
-      metrics: this.metrics,
-      logger: this.logger,
-      node: this.settings.server,
-    };
-    const {activationLogBytes, orphanTimeoutMs} = this.settings;
-    const stage = new Stage({...common, activationLogBytes, orphanTimeoutMs});
-    stage.setInfo(info);
-    const {maxQueuedRequests} = this.settings;
-    const head = new Head({...common, maxQueuedRequests});
-    head.setSlotLimit(info.maxSequences);
-    this.store.interval(() => stage.releaseOrphans(), ORPHAN_SWEEP_MS);
-    this.stage = stage;
-    this.head = head;
-    return info;
+  private isIdle(): boolean {
+    return this.model?.isIdle ?? true;
+  }
+
+  private async startModel(): Promise<EngineInfo | undefined> {
+    const {engineUrl} = this.settings;
+    if (!engineUrl) return undefined;
+    this.model = this.store.add(
+      new ModelServer({
+        settings: this.settings,
+        engineUrl,
+        peers: this.peers,
+        keyValue: this.keyValue,
+        metrics: this.metrics,
+        logger: this.logger,
+        plan: () => this.documents.plan,
+        wasPaused: windowMs => this.pauses.pausedWithin(windowMs),
+      }),
+    );
+    return this.model.start();
   }
 
-  private async register(engine?: RegisteredEngine): Promise<void> {
+  private draftRegistration(
+    state: 'live' | 'leaving',
+    engine: EngineInfo | undefined,
+  ): RegistrationDraft {
     const {server, host, availabilityZone, region, service} = this.settings;
-    await registerServer(this.keyValue, {
+    return {
       server: toId(server),
       instance: this.instance,
       host,
       address: this.peers.address,
       availabilityZone,
       region,
-      state: 'live',
+      state,
       engine,
       service: service === undefined ? undefined : toId<ServiceId>(service),
-    });
+    };
   }
 
   private receive(message: Message, link: PeerLink): void {
-    switch (message.type) {
-      case 'open':
-        return this.head?.open(message);
-      case 'step':
-        this.head?.confirmGrant(message.request);
-        return this.stage?.takeInput(message);
-      case 'activation':
-        return this.stage?.takeInput(message);
-      case 'reroute':
-        return this.stage?.reroute(message);
-      case 'replay':
-        return this.stage?.replay(message);
-      case 'release':
-        this.stage?.release(message);
-        return this.head?.release(message);
-      case 'cancel': {
-        const {request, attempt} = message;
-        const ran = this.head?.cancel(message) ? 'not_run' : 'unknown';
-        link.send({type: 'cancelled', request, attempt, ran});
-        return;
-      }
-      default:
-        return;
-    }
+    if (this.documents.handle(message, link)) return;
+    this.model?.receive(message, link);
   }
 }
