--- /dev/null
+++ b/packages/azurecrank/src/core/calls/call_retry.ts
@@ -0,0 +1,58 @@
+/** Which refusals of a call permit another try elsewhere. */
+import type {
+  RefusalReason,
+  Refused,
+  Refusal,
+  RetryReason,
+} from '@azurecrank/core';
+
+export interface RetryPermit {
+  readonly reason: RetryReason;
+  readonly costsBudget: boolean;
+  /** Whether only one other candidate is tried. */
+  readonly onlyOnce: boolean;
+}
+
+const FULL: readonly RefusalReason[] = [
+  'queue_full',
+  'workspace_queue_full',
+  'starting',
+];
+
+/**
+ * Only a confirmed `not_run` permits another try. `service_failed` with
+ * `not_run` means that the side could not connect to its service.
+ */
+export function permitAfterRefusal(
+  refused: Pick<Refused, 'reason' | 'ran'>,
+): RetryPermit | undefined {
+  if (refused.ran !== 'not_run') return undefined;
+  const {reason} = refused;
+  if (reason === 'leaving') {
+    return {reason: 'server_leaving', costsBudget: false, onlyOnce: false};
+  }
+  if (FULL.includes(reason)) {
+    return {reason: 'refused_elsewhere', costsBudget: true, onlyOnce: true};
+  }
+  if (reason === 'service_failed') {
+    return {reason: 'connect_failed', costsBudget: true, onlyOnce: false};
+  }
+  return undefined;
+}
+
+/** A call that may have left is sent again only if it is idempotent. */
+export function permitAfterLoss(
+  mayHaveLeft: boolean,
+  idempotent: boolean,
+): RetryPermit | undefined {
+  if (!mayHaveLeft) {
+    return {reason: 'connect_failed', costsBudget: true, onlyOnce: false};
+  }
+  if (!idempotent) return undefined;
+  return {reason: 'connection_replaced', costsBudget: true, onlyOnce: true};
+}
+
+export function toRefusal(refused: Refused): Refusal {
+  const {reason, ran, step, peer, detail, retryAfterMs} = refused;
+  return {kind: 'refusal', reason, ran, step, peer, detail, retryAfterMs};
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,8 @@
 export * from './core/telemetry/logger.js';
 export * from './core/telemetry/metrics.js';
 export * from './core/placement/plan.js';
+export * from './core/claims/claim.js';
+export * from './core/claims/claim_keys.js';
+export * from './core/claims/claim_page.js';
+export * from './core/claims/claim_page_writer.js';
+export * from './core/claims/claim_store.js';
