Test claims and the side's call handler; copy a page once per write

A draft now copies the page once per write, and each claim is serialized once. The outcome of a running claim always fits: its status is reserved, the body is dropped when there is no room.

--- a/packages/core/src/core/claims/claim_page.ts
+++ b/packages/core/src/core/claims/claim_page.ts
@@ -19,6 +19,9 @@
 /** Kept free for each running claim, so that its outcome always fits. */
 const OUTCOME_RESERVE_BYTES = 64;
 
+/** Quotes, colon and comma around an entry. */
+const PER_CLAIM_BYTES = 4;
+
 export type ClaimPage = ReadonlyMap<string, Claim>;
 
 export const EMPTY_PAGE: ClaimPage = new Map();
@@ -46,9 +49,10 @@
 }
 
 export function serializeClaimPage(page: ClaimPage): string {
-  return JSON.stringify(
-    Object.fromEntries([...page].map(([key, claim]) => [key, toStored(claim)])),
+  const items = [...page].map(
+    ([key, claim]) => `${JSON.stringify(key)}:${claimText(claim)}`,
   );
+  return `{${items.join(',')}}`;
 }
 
 function fromStored(item: z.infer<typeof storedClaim>): Claim {
@@ -87,31 +91,82 @@
   };
 }
 
-/** Claims are immutable, so each is measured once and not for each write. */
-const measuredBytes = new WeakMap<Claim, number>();
+/** Claims are immutable, so each is serialized once and not for each write. */
+const claimTexts = new WeakMap<Claim, string>();
+
+/** Pages are immutable; the size of a changed page follows from the change. */
+const pageSizes = new WeakMap<ClaimPage, number>();
+
+function claimText(claim: Claim): string {
+  let text = claimTexts.get(claim);
+  if (text === undefined) {
+    text = JSON.stringify(toStored(claim));
+    claimTexts.set(claim, text);
+  }
+  return text;
+}
 
 /** Bytes that the claim takes in its page, with the reserve while it runs. */
 function claimBytes(keyHash: string, claim: Claim): number {
-  let storedBytes = measuredBytes.get(claim);
-  if (storedBytes === undefined) {
-    storedBytes = Buffer.byteLength(JSON.stringify(toStored(claim)));
-    measuredBytes.set(claim, storedBytes);
-  }
   const reserve = claim.state === 'running' ? OUTCOME_RESERVE_BYTES : 0;
-  return storedBytes + keyHash.length + 4 + reserve;
+  const textBytes = Buffer.byteLength(claimText(claim));
+  return textBytes + keyHash.length + PER_CLAIM_BYTES + reserve;
 }
 
 /** Upper bound of the serialized size of the page and its reserves. */
 export function claimPageBytes(page: ClaimPage): number {
-  let sizeBytes = 2;
-  for (const [keyHash, claim] of page) sizeBytes += claimBytes(keyHash, claim);
+  let sizeBytes = pageSizes.get(page);
+  if (sizeBytes === undefined) {
+    sizeBytes = 2;
+    for (const [key, claim] of page) sizeBytes += claimBytes(key, claim);
+    pageSizes.set(page, sizeBytes);
+  }
   return sizeBytes;
 }
 
+/**
+ * Changes to a page within one write. The page is copied once and not for each
+ * change, since it may hold thousands of claims.
+ */
+export class ClaimPageDraft {
+  private changed: Map<string, Claim> | undefined;
+  private sizeBytes: number;
+
+  constructor(private readonly base: ClaimPage) {
+    this.sizeBytes = claimPageBytes(base);
+  }
+
+  get(keyHash: string): Claim | undefined {
+    return (this.changed ?? this.base).get(keyHash);
+  }
+
+  /** Returns false, without a change, if the page would be too large. */
+  set(keyHash: string, claim: Claim): boolean {
+    const found = this.get(keyHash);
+    const removedBytes = found ? claimBytes(keyHash, found) : 0;
+    const sizeBytes =
+      this.sizeBytes + claimBytes(keyHash, claim) - removedBytes;
+    if (sizeBytes > MAX_PAGE_BYTES) return false;
+    this.changed ??= new Map(this.base);
+    this.changed.set(keyHash, claim);
+    this.sizeBytes = sizeBytes;
+    return true;
+  }
+
+  /** Ends the draft; the page is the one given if nothing changed. */
+  finish(): ClaimPage {
+    if (!this.changed) return this.base;
+    pageSizes.set(this.changed, this.sizeBytes);
+    return this.changed;
+  }
+}
+
 /** Removes claims whose retention has passed. */
 export function expireClaims(page: ClaimPage, nowMs: number): ClaimPage {
-  const kept = [...page].filter(([, claim]) =>
-    stepClaim(claim, {type: 'expire', nowMs}),
+  // Most claims are young; the chart is asked only about the others.
+  const kept = [...page].filter(
+    ([, claim]) =>
+      nowMs < claim.expiresMs || stepClaim(claim, {type: 'expire', nowMs}),
   );
   return kept.length === page.size ? page : new Map(kept);
 }
@@ -125,35 +180,23 @@
   | {readonly kind: 'key_reused'}
   | {readonly kind: 'page_full'};
 
-export interface PageChange<Verdict> {
-  /** The same object when nothing is to be written. */
-  readonly page: ClaimPage;
-  readonly verdict: Verdict;
-}
-
 /**
  * Adds a claim unless the key has one. A claim that already carries the
  * request's nonce is its own, written by a write whose answer was lost.
  */
-export function addClaim(
-  page: ClaimPage,
+export function draftClaim(
+  draft: ClaimPageDraft,
   keyHash: string,
   claim: NewClaim,
   nowMs: number,
   marginMs: number,
-): PageChange<ClaimVerdict> {
-  const found = page.get(keyHash);
+): ClaimVerdict {
+  const found = draft.get(keyHash);
   const verdict = found && judgeFound(found, claim, nowMs, marginMs);
-  if (verdict) return {page, verdict};
+  if (verdict) return verdict;
   const next = stepClaim(found, {type: 'claim', claim});
-  if (!next || next === found) {
-    return {page, verdict: {kind: 'outcome_unknown'}};
-  }
-  const changed = new Map(page).set(keyHash, next);
-  if (claimPageBytes(changed) > MAX_PAGE_BYTES) {
-    return {page, verdict: {kind: 'page_full'}};
-  }
-  return {page: changed, verdict: {kind: 'claimed'}};
+  if (!next || next === found) return {kind: 'outcome_unknown'};
+  return {kind: draft.set(keyHash, next) ? 'claimed' : 'page_full'};
 }
 
 /** Returns undefined if the key may be claimed. */
@@ -185,22 +228,19 @@
  * Records the outcome of a claim under its nonce; a claim that is gone or has
  * another nonce stays as it is. The body is dropped when the page has no room.
  */
-export function recordOutcome(
-  page: ClaimPage,
+export function draftOutcome(
+  draft: ClaimPageDraft,
   keyHash: string,
   record: ClaimRecord,
-): PageChange<'recorded' | 'absent'> {
-  const found = page.get(keyHash);
-  if (found?.nonce !== record.nonce) return {page, verdict: 'absent'};
+): 'recorded' | 'absent' {
+  const found = draft.get(keyHash);
+  if (found?.nonce !== record.nonce) return 'absent';
   const next = stepRecord(found, record);
-  if (next === found || !next) return {page, verdict: 'recorded'};
-  const changed = new Map(page).set(keyHash, next);
-  if (claimPageBytes(changed) <= MAX_PAGE_BYTES || !next.outcome) {
-    return {page: changed, verdict: 'recorded'};
-  }
-  const {status} = next.outcome;
-  changed.set(keyHash, {...next, outcome: {status}});
-  return {page: changed, verdict: 'recorded'};
+  if (!next || next === found || draft.set(keyHash, next)) return 'recorded';
+  // The reserve of the running claim covers the status alone.
+  const status = next.outcome?.status;
+  if (status !== undefined) draft.set(keyHash, {...next, outcome: {status}});
+  return 'recorded';
 }
 
 function stepRecord(claim: Claim, record: ClaimRecord): Claim | undefined {
@@ -209,3 +249,33 @@
     ? stepClaim(claim, {type: 'record_done', nonce, expiresMs, outcome})
     : stepClaim(claim, {type: 'record_not_run', nonce, expiresMs});
 }
+
+export interface PageChange<Verdict> {
+  /** The same object when nothing is to be written. */
+  readonly page: ClaimPage;
+  readonly verdict: Verdict;
+}
+
+/** `draftClaim` as a function from page to page. */
+export function addClaim(
+  page: ClaimPage,
+  keyHash: string,
+  claim: NewClaim,
+  nowMs: number,
+  marginMs: number,
+): PageChange<ClaimVerdict> {
+  const draft = new ClaimPageDraft(page);
+  const verdict = draftClaim(draft, keyHash, claim, nowMs, marginMs);
+  return {page: draft.finish(), verdict};
+}
+
+/** `draftOutcome` as a function from page to page. */
+export function recordOutcome(
+  page: ClaimPage,
+  keyHash: string,
+  record: ClaimRecord,
+): PageChange<'recorded' | 'absent'> {
+  const draft = new ClaimPageDraft(page);
+  const verdict = draftOutcome(draft, keyHash, record);
+  return {page: draft.finish(), verdict};
+}
--- a/packages/core/src/core/claims/claim_page_writer.ts
+++ b/packages/core/src/core/claims/claim_page_writer.ts
@@ -10,11 +10,12 @@
 import type {Metrics} from '../telemetry/metrics.js';
 import type {RetryReason} from '../errors/retry_reasons.js';
 import {
+  ClaimPageDraft,
   EMPTY_PAGE,
-  addClaim,
+  draftClaim,
+  draftOutcome,
   expireClaims,
   parseClaimPage,
-  recordOutcome,
   serializeClaimPage,
   type ClaimPage,
   type ClaimRecord,
@@ -212,35 +213,33 @@
   /** Applies the batch in order; verdicts hold once the page is written. */
   private applyAll(before: ClaimPage, batch: readonly Waiting[]) {
     const nowMs = Date.now();
-    let page = expireClaims(before, nowMs);
-    let isChanged = false;
+    const kept = expireClaims(before, nowMs);
+    const draft = new ClaimPageDraft(kept);
     let needsFreshPage = false;
     const settlers: (() => void)[] = [];
     for (const waiting of batch) {
+      const {keyHash} = waiting;
       if (waiting.type === 'record') {
-        const change = recordOutcome(page, waiting.keyHash, waiting.record);
-        isChanged ||= change.page !== page;
-        needsFreshPage ||= change.verdict === 'absent';
-        page = change.page;
+        const verdict = draftOutcome(draft, keyHash, waiting.record);
+        needsFreshPage ||= verdict === 'absent';
         settlers.push(waiting.settle);
         continue;
       }
       if (this.isGivenUp(waiting)) continue;
-      const {keyHash, claim} = waiting;
       const {holderMarginMs} = this.options;
-      const change = addClaim(page, keyHash, claim, nowMs, holderMarginMs);
-      isChanged ||= change.page !== page;
+      const {claim} = waiting;
+      const verdict = draftClaim(draft, keyHash, claim, nowMs, holderMarginMs);
       // A recorded outcome never changes; other refusals may be out of date.
-      needsFreshPage ||= change.verdict.kind !== 'done';
-      page = change.page;
-      settlers.push(() => this.settleClaim(waiting, change.verdict));
+      needsFreshPage ||= verdict.kind !== 'done';
+      settlers.push(() => this.settleClaim(waiting, verdict));
     }
     const settle = (): Round => {
       for (const settler of settlers) settler();
       return 'finished';
     };
+    const page = draft.finish();
     // Expiry alone is not worth a write.
-    return {page: isChanged ? page : before, settle, needsFreshPage};
+    return {page: page === kept ? before : page, settle, needsFreshPage};
   }
 
   /** Whether the claim was refused for its timeout and is no longer wanted. */
--- /dev/null
+++ b/packages/side/test/call_handler_test.ts
@@ -0,0 +1,350 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {RETRIES_COUNTER, type Call, type Refused} from '@azurecrank/core';
+import type {CallAnswer, CallHandler} from '../src/index.js';
+import {CallHarness, Gate, until} from './call_harness.js';
+
+function summary(answer: CallAnswer): string {
+  if (answer.type === 'refused') return `${answer.reason} ${answer.ran}`;
+  return `${answer.status}${answer.replayed ? ' replayed' : ''}`;
+}
+
+async function run(handler: CallHandler, call: Call): Promise<string> {
+  return summary(await handler.handle(call));
+}
+
+/** Blocks this thread, as a stop of the process does. */
+function freeze(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
+describe('CallHandler', () => {
+  let harness: CallHarness;
+  beforeEach(async () => {
+    harness = await CallHarness.start();
+  });
+  afterEach(() => harness[Symbol.dispose]());
+
+  const cancel = (handler: CallHandler, {request, attempt}: Call) =>
+    handler.cancel({type: 'cancel', request, attempt}).ran;
+
+  describe('one key', () => {
+    it('takes effect once when two sides get it at once', async () => {
+      const sides = [harness.addSide(), harness.addSide()];
+      for (let round = 0; round < 10; round++) {
+        const key = `both-${round}`;
+        await Promise.all(
+          [0, 1, 0, 1].map(index =>
+            run(sides[index].handler, harness.call(key)),
+          ),
+        );
+        expect(harness.effectsOfKey(key)).toEqual(1);
+      }
+    });
+
+    it('replays a recorded answer at another side', async () => {
+      const [one, two] = [harness.addSide(), harness.addSide()];
+      const first = await one.handler.handle(harness.call('k'));
+      await one.store.settled();
+      const second = await two.handler.handle(harness.call('k'));
+      expect([summary(first), summary(second)]).toEqual([
+        '200',
+        '200 replayed',
+      ]);
+      if (first.type === 'refused' || second.type === 'refused') return;
+      expect(Buffer.from(second.body)).toEqual(Buffer.from(first.body));
+    });
+
+    it('is refused with another body', async () => {
+      const {handler, store} = harness.addSide();
+      await run(handler, harness.call('k'));
+      await store.settled();
+      const other = harness.call('k', {body: Buffer.from('{"a":1}')});
+      expect(await run(handler, other)).toEqual('key_reused not_run');
+      expect(harness.effectsOf(other)).toEqual(0);
+    });
+
+    it('uses the stored page count, so that settings cannot split a key', async () => {
+      const one = harness.addSide({pages: 3});
+      const two = harness.addSide({pages: 64});
+      for (let index = 0; index < 8; index++) {
+        await run(one.handler, harness.call(`k${index}`));
+        await one.store.settled();
+        const retry = await run(two.handler, harness.call(`k${index}`));
+        expect(retry).toEqual('200 replayed');
+      }
+    });
+
+    it('says that it ran when the answer was too large to keep', async () => {
+      const {handler, store} = harness.addSide({bodyBytes: 5});
+      await run(handler, harness.call('k'));
+      await store.settled();
+      const retry = await run(handler, harness.call('k'));
+      expect(retry).toEqual('outcome_unknown ran');
+    });
+
+    it('may be claimed again when its retention has passed', async () => {
+      const {handler, store} = harness.addSide({retentionMs: 30});
+      await run(handler, harness.call('k'));
+      await store.settled();
+      const endMs = Date.now() + 40;
+      await until(() => Date.now() > endMs);
+      expect(await run(handler, harness.call('k'))).toEqual('200');
+    });
+  });
+
+  describe('a holder that is lost or frozen', () => {
+    it('leaves the claim running when it is lost before the record', async () => {
+      const [lost, other] = [harness.addSide(), harness.addSide()];
+      lost.service.onCall = async call => {
+        const outcome = await call();
+        lost.store[Symbol.dispose]();
+        return outcome;
+      };
+      await run(lost.handler, harness.call('k', {deadlineMs: 150}));
+      const early = await run(other.handler, harness.call('k'));
+      expect(early).toEqual('claim_in_progress unknown');
+      const endMs = Date.now() + 250;
+      await until(() => Date.now() > endMs);
+      const late = await run(other.handler, harness.call('k'));
+      expect(late).toEqual('outcome_unknown unknown');
+      expect(harness.effectsOfKey('k')).toEqual(1);
+    });
+
+    it('does not call after a freeze past the deadline', async () => {
+      const {handler, kv, store} = harness.addSide();
+      kv.onWrite = async write => {
+        const outcome = await write();
+        if (kv.writes === 1) freeze(300);
+        return outcome;
+      };
+      const call = harness.call('k', {deadlineMs: 200});
+      expect(await run(handler, call)).toEqual('deadline_exceeded not_run');
+      await store.settled();
+      expect(harness.effectsOfKey('k')).toEqual(0);
+      expect(await run(handler, harness.call('k'))).toEqual('200');
+    });
+
+    it('takes the time of a freeze off a deadline that waited in a socket', async () => {
+      const {handler} = harness.addSide();
+      freeze(400);
+      const call = harness.call('k', {deadlineMs: 200});
+      expect(await run(handler, call)).toEqual('deadline_exceeded not_run');
+    });
+
+    it('is not taken over, and does not call when it resumes late', async () => {
+      const [frozen, other] = [harness.addSide(), harness.addSide()];
+      const gate = new Gate();
+      frozen.kv.onWrite = async write => {
+        const outcome = await write();
+        await gate.pass();
+        return outcome;
+      };
+      const first = run(frozen.handler, harness.call('k', {deadlineMs: 150}));
+      await until(() => gate.reached === 1);
+      const retries: string[] = [];
+      const endMs = Date.now() + 250;
+      while (Date.now() < endMs) {
+        retries.push(await run(other.handler, harness.call('k')));
+      }
+      gate.release();
+      expect([retries[0], retries.at(-1)]).toEqual([
+        'claim_in_progress unknown',
+        'outcome_unknown unknown',
+      ]);
+      await first;
+      expect(harness.effectsOfKey('k')).toEqual(0);
+    });
+  });
+
+  describe('faults of the key-value service', () => {
+    for (const lostWrite of [1, 2]) {
+      it(`resolves a lost answer to write ${lostWrite} by its nonce`, async () => {
+        const {handler, kv, store, metrics} = harness.addSide();
+        kv.onWrite = async write => {
+          const isLost = kv.writes === lostWrite;
+          if (isLost) harness.kv.faults.loseAnswers = 1;
+          return write();
+        };
+        expect(await run(handler, harness.call('k'))).toEqual('200');
+        await store.settled();
+        const reason = 'kv_answer_lost';
+        expect(metrics.counterValue(RETRIES_COUNTER, {reason})).toEqual(1);
+        expect(await run(handler, harness.call('k'))).toEqual('200 replayed');
+        expect(harness.effectsOfKey('k')).toEqual(1);
+      });
+    }
+
+    it('refuses before the call when the service is down', async () => {
+      const {handler} = harness.addSide();
+      await run(handler, harness.call('before'));
+      harness.kv.faults.down = true;
+      const call = harness.call('k');
+      expect(await run(handler, call)).toEqual(
+        'claim_store_unavailable not_run',
+      );
+      harness.kv.faults.down = false;
+      const endMs = Date.now() + 60;
+      await until(() => Date.now() > endMs);
+      expect(harness.effectsOf(call)).toEqual(0);
+      expect(await run(handler, harness.call('k'))).toEqual('200');
+    });
+
+    it('answers the caller and records later when it fails after the claim', async () => {
+      const {handler, service, store} = harness.addSide();
+      service.onCall = call => {
+        harness.kv.faults.down = true;
+        return call();
+      };
+      expect(await run(handler, harness.call('k'))).toEqual('200');
+      expect(store.unrecordedCount).toEqual(1);
+      harness.kv.faults.down = false;
+      await store.settled();
+      expect(await run(handler, harness.call('k'))).toEqual('200 replayed');
+    });
+
+    it('never calls for a claim whose write landed after the refusal', async () => {
+      const {handler, kv} = harness.addSide({claimTimeoutMs: 60});
+      const gate = new Gate();
+      kv.onWrite = async write => {
+        await gate.pass();
+        return write();
+      };
+      const call = harness.call('k');
+      expect(await run(handler, call)).toEqual(
+        'claim_store_unavailable not_run',
+      );
+      gate.release();
+      await until(() => kv.writes === 2);
+      expect(harness.effectsOf(call)).toEqual(0);
+    });
+
+    it('refuses a key whose page is full', async () => {
+      const {handler, store} = harness.addSide({pages: 1, bodyBytes: 900_000});
+      const body = Buffer.alloc(700_000);
+      const status = 200;
+      await run(handler, harness.call('first'));
+      await store.settled();
+      const claimed = await store.claim({
+        ...harness.call('large'),
+        deadlineMs: 1000,
+      });
+      if (claimed.kind !== 'claimed') throw new Error(claimed.kind);
+      await store.recordDone(claimed.ticket, {status, body, headers: {}});
+      const filled = await store.claim({
+        ...harness.call('more'),
+        deadlineMs: 1000,
+      });
+      if (filled.kind !== 'claimed') throw new Error(filled.kind);
+      const rest = Buffer.alloc(19_000);
+      await store.recordDone(filled.ticket, {status, body: rest, headers: {}});
+      const answers: string[] = [];
+      while (answers.length < 5 && !answers.at(-1)?.startsWith('claim_page')) {
+        answers.push(await run(handler, harness.call(`k${answers.length}`)));
+      }
+      expect(answers.at(-1)).toEqual('claim_page_full not_run');
+    });
+  });
+
+  describe('cancel', () => {
+    it('keeps a claimed call from running and says so', async () => {
+      const {handler, kv} = harness.addSide();
+      const gate = new Gate();
+      kv.onWrite = async write => {
+        await gate.pass();
+        return write();
+      };
+      const call = harness.call('k');
+      const answer = run(handler, call);
+      await until(() => gate.reached === 1);
+      expect(cancel(handler, call)).toEqual('not_run');
+      gate.release();
+      expect(await answer).toEqual('caller_left not_run');
+      expect(harness.effectsOf(call)).toEqual(0);
+    });
+
+    it('is unknown once the call was started', async () => {
+      const {handler, service} = harness.addSide();
+      const gate = new Gate();
+      service.onCall = async call => {
+        await gate.pass();
+        return call();
+      };
+      const call = harness.call('k');
+      const answer = run(handler, call);
+      await until(() => gate.reached === 1);
+      expect(cancel(handler, call)).toEqual('unknown');
+      gate.release();
+      expect(await answer).toEqual('200');
+      expect(cancel(handler, call)).toEqual('ran');
+    });
+
+    it('that arrives first blocks the call without claiming to know', async () => {
+      const {handler} = harness.addSide();
+      const call = harness.call('k');
+      expect(cancel(handler, call)).toEqual('unknown');
+      expect(await run(handler, call)).toEqual('caller_left unknown');
+      expect(harness.effectsOf(call)).toEqual(0);
+    });
+  });
+
+  describe('duplicates, leaving and the queue', () => {
+    it('runs a request id once without a key', async () => {
+      const {handler} = harness.addSide();
+      const call = harness.call('');
+      const both = [run(handler, call), run(handler, call)];
+      const answers = await Promise.all(both);
+      answers.push(await run(handler, call));
+      expect(answers).toEqual(['200', '200', '200']);
+      expect(harness.effectsOf(call)).toEqual(1);
+    });
+
+    it('refuses new calls while leaving and finishes the others', async () => {
+      const {handler, service} = harness.addSide();
+      const gate = new Gate();
+      service.onCall = async call => {
+        await gate.pass();
+        return call();
+      };
+      const accepted = run(handler, harness.call('k'));
+      await until(() => gate.reached === 1);
+      handler.leave();
+      expect(await run(handler, harness.call('l'))).toEqual('leaving not_run');
+      gate.release();
+      await handler.drained();
+      expect(await accepted).toEqual('200');
+    });
+
+    it('serves waiting calls by rank and sheds the lowest', async () => {
+      const {handler, service} = harness.addSide(
+        {},
+        {maxInFlight: 1, maxWaiting: 2},
+      );
+      const gate = new Gate();
+      service.onCall = async call => {
+        await gate.pass();
+        return call();
+      };
+      const order: string[] = [];
+      const send = async (rank: Call['rank']) => {
+        const answer = await handler.handle(harness.call('', {rank}));
+        const reason = (answer as Partial<Refused>).reason ?? 'ok';
+        order.push(`${rank} ${reason}`);
+      };
+      const first = send('ordinary');
+      await until(() => gate.reached === 1);
+      const all = [first, send('overnight'), send('ordinary'), send('urgent')];
+      await all[1];
+      await send('overnight');
+      gate.release();
+      await Promise.all(all);
+      expect(order).toEqual([
+        'overnight shed_for_higher_rank',
+        'overnight queue_full',
+        'ordinary ok',
+        'urgent ok',
+        'ordinary ok',
+      ]);
+    });
+  });
+});
