Let outcomes of calls wait for a claim on the same page

Nobody waits for the outcome's write, since the caller has its answer. It now waits up to claimRecordDelayMs (1 s) for a claim on its page. Retries at the same side still find it, and a planned stop writes it at once.

--- a/packages/core/src/core/claims/claim_page_writer.ts
+++ b/packages/core/src/core/claims/claim_page_writer.ts
@@ -31,6 +31,13 @@
 export interface PageWriterOptions {
   /** Time for which the first waiting change waits for others. */
   readonly batchWindowMs: number;
+  /**
+   * Time for which the outcome of a call waits for a claim on the same page,
+   * to share its write. The caller has its answer already; a retry at this
+   * side finds the outcome, one at another side is told to come back. A side
+   * that is lost in this time leaves its outcomes unknown.
+   */
+  readonly recordDelayMs: number;
   /** Most changes in one write. */
   readonly maxBatch: number;
   /** Writes after which a claim is refused as unavailable. */
@@ -80,6 +87,8 @@
   private loaded: Loaded | undefined;
   private running = false;
   private stopped = false;
+  private flushing = false;
+  private wake: () => void = () => {};
   private unavailableUntilMs = 0;
   private failures = 0;
 
@@ -140,22 +149,29 @@
     });
   }
 
+  /** Writes what waits without further delay. */
+  flush(): void {
+    this.flushing = this.running;
+    this.wake();
+  }
+
   stop(): void {
     this.stopped = true;
+    this.wake();
   }
 
   private push(waiting: Waiting): void {
     this.waiting.push(waiting);
+    if (isUrgent(waiting)) this.wake();
     if (this.running || this.stopped) return;
     this.running = true;
     void this.run();
   }
 
   private async run(): Promise<void> {
-    const {batchWindowMs, maxBatch} = this.options;
     while (this.waiting.length > 0 && !this.stopped) {
-      if (batchWindowMs > 0) await sleep(batchWindowMs);
-      const batch = this.waiting.splice(0, maxBatch);
+      await this.waitForOthers();
+      const batch = this.waiting.splice(0, this.options.maxBatch);
       const round = await this.writeBatch(batch);
       if (round === 'finished') {
         this.failures = 0;
@@ -167,6 +183,22 @@
       if (this.waiting.length > 0) await sleep(this.nextBackoffMs());
     }
     this.running = false;
+    this.flushing = false;
+  }
+
+  /** Lets changes that come soon share the write. */
+  private async waitForOthers(): Promise<void> {
+    const {batchWindowMs, recordDelayMs} = this.options;
+    if (!this.flushing && recordDelayMs > 0 && !this.waiting.some(isUrgent)) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, recordDelayMs);
+        this.wake = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    if (!this.flushing && batchWindowMs > 0) await sleep(batchWindowMs);
   }
 
   private async writeBatch(batch: readonly Waiting[]): Promise<Round> {
@@ -306,6 +338,11 @@
   }
 }
 
+/** A claim's call waits for it; after `not_run` the key is to be free again. */
+function isUrgent(waiting: Waiting): boolean {
+  return waiting.type === 'claim' || !waiting.record.outcome;
+}
+
 function toLoaded(entry: KeyValueEntry | undefined): Loaded {
   if (!entry) return {page: EMPTY_PAGE, revision: 0};
   return {page: parseClaimPage(entry.value), revision: entry.revision};
--- a/packages/core/src/core/claims/claim_store.ts
+++ b/packages/core/src/core/claims/claim_store.ts
@@ -45,6 +45,7 @@
   retentionMs: 3_600_000,
   bodyBytes: 4096,
   batchWindowMs: 5,
+  recordDelayMs: 1000,
   maxBatch: 1000,
   maxAttempts: 6,
   backoffMs: 5,
@@ -133,8 +134,8 @@
 
   /**
    * Stores the outcome and retries until it is stored or its retention has
-   * passed. Outcomes wait only for calls that were claimed before an outage,
-   * so their number is bounded by the calls in flight.
+   * passed. No call is claimed in an outage, so the outcomes that wait are
+   * those of the calls in flight at its start and of `recordDelayMs` before.
    */
   recordDone(ticket: ClaimTicket, outcome: ClaimOutcome): Promise<void> {
     const isSmall = (outcome.body?.length ?? 0) <= this.options.bodyBytes;
@@ -147,9 +148,12 @@
     return this.record(ticket, undefined);
   }
 
-  /** Resolves when no outcome is waiting to be stored. */
+  /** Stores waiting outcomes without delay; resolves when none is left. */
   async settled(): Promise<void> {
-    while (this.unrecorded.size > 0) await Promise.all(this.unrecorded);
+    while (this.unrecorded.size > 0) {
+      for (const writer of this.writers.values()) writer.flush();
+      await Promise.all(this.unrecorded);
+    }
   }
 
   [Symbol.dispose](): void {
--- a/packages/core/src/core/settings/process_settings.ts
+++ b/packages/core/src/core/settings/process_settings.ts
@@ -72,6 +72,8 @@
   urgentReserveSlots: z.number().int().min(0).default(1),
   /** Claims within this time share one write. */
   claimBatchWindowMs: z.number().int().min(0).default(5),
+  /** Time an outcome waits for a claim on its page, to share the write. */
+  claimRecordDelayMs: z.number().int().min(0).default(1000),
   /** Time for which the outcome of a claimed call is kept. */
   claimRetentionMs: positiveMs.default(3_600_000),
   /** Pages over which the claims of a service are spread. */
--- a/packages/side/test/call_handler_test.ts
+++ b/packages/side/test/call_handler_test.ts
@@ -55,6 +55,16 @@
       expect(Buffer.from(second.body)).toEqual(Buffer.from(first.body));
     });
 
+    it('replays an outcome that still waits for its write', async () => {
+      const {handler, kv} = harness.addSide({recordDelayMs: 60_000});
+      const answers = [
+        await run(handler, harness.call('k')),
+        await run(handler, harness.call('k')),
+      ];
+      expect(answers).toEqual(['200', '200 replayed']);
+      expect(kv.writes).toEqual(2);
+    });
+
     it('is refused with another body', async () => {
       const {handler, store} = harness.addSide();
       await run(handler, harness.call('k'));
