Keep only descriptive headers with a recorded answer

Cause: headers of one response (date, connection, keep-alive) took page space and would have been replayed. The bound on the kept answer now covers the headers as well.

--- a/packages/core/src/core/claims/claim_store.ts
+++ b/packages/core/src/core/claims/claim_store.ts
@@ -31,6 +31,15 @@
 
 const NONCE_BYTES = 12;
 
+/** Headers that describe the answer; the others belong to one response. */
+const REPLAYED_HEADERS: ReadonlySet<string> = new Set([
+  'content-type',
+  'content-encoding',
+  'content-language',
+  'etag',
+  'location',
+]);
+
 export interface ClaimStoreOptions extends PageWriterOptions {
   /** Pages of a service that has no claims yet; later the stored count. */
   readonly pages: number;
@@ -138,9 +147,7 @@
    * those of the calls in flight at its start and of `recordDelayMs` before.
    */
   recordDone(ticket: ClaimTicket, outcome: ClaimOutcome): Promise<void> {
-    const isSmall = (outcome.body?.length ?? 0) <= this.options.bodyBytes;
-    const kept = isSmall ? outcome : {status: outcome.status};
-    return this.record(ticket, kept);
+    return this.record(ticket, boundOutcome(outcome, this.options.bodyBytes));
   }
 
   /** Stores that the call was not made; the holder must not make it later. */
@@ -214,6 +221,19 @@
   }
 }
 
+/** Keeps the status alone when the answer is larger than `maxBytes`. */
+function boundOutcome(outcome: ClaimOutcome, maxBytes: number): ClaimOutcome {
+  const {status, body, headers = {}} = outcome;
+  const kept = Object.fromEntries(
+    Object.entries(headers).filter(([name]) =>
+      REPLAYED_HEADERS.has(name.toLowerCase()),
+    ),
+  );
+  const headerBytes = Buffer.byteLength(Object.values(kept).join(''));
+  const sizeBytes = headerBytes + (body?.length ?? 0);
+  return sizeBytes > maxBytes ? {status} : {status, body, headers: kept};
+}
+
 function parsePages(text: string): number | undefined {
   const {pages} = JSON.parse(text) as {pages?: unknown};
   return Number.isInteger(pages) && Number(pages) > 0
