--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,3 +51,8 @@
 export * from './core/configuration/document_runner.js';
 export * from './core/configuration/document_exchange.js';
 export * from './core/configuration/watcher_election.js';
+export * from './core/claims/claim.js';
+export * from './core/claims/claim_keys.js';
+export * from './core/claims/claim_page.js';
+export * from './core/claims/claim_page_writer.js';
+export * from './core/claims/claim_store.js';
