--- /dev/null
+++ b/packages/core/src/core/admission/deadline.ts
@@ -0,0 +1,50 @@
+/** Whether a request can be served in time, from measured rates. */
+export interface ServiceEstimate {
+  /** Tokens that are served before the request. */
+  readonly costAheadTokens: number;
+  /** Measured rate of served cost, prompt and output; 0 if not known. */
+  readonly servedTokensPerS: number;
+  /** Time until a slot is free; 0 if one is free. */
+  readonly slotWaitMs: number;
+  readonly promptTokens: number;
+  /** Measured prefill rate of one sequence; 0 if not known. */
+  readonly prefillTokensPerS: number;
+}
+
+export interface Deadlines {
+  readonly deadlineAtMs: number;
+  readonly firstTokenDeadlineAtMs: number;
+}
+
+/** Prefill time of a prompt; 0 while the rate is not known. */
+export function prefillMs(promptTokens: number, tokensPerS: number): number {
+  return tokensPerS > 0 ? (promptTokens / tokensPerS) * 1000 : 0;
+}
+
+/** Estimated time from now to the first token. */
+export function estimateFirstTokenMs(estimate: ServiceEstimate): number {
+  const {costAheadTokens, servedTokensPerS} = estimate;
+  const queueMs =
+    servedTokensPerS > 0 ? (costAheadTokens / servedTokensPerS) * 1000 : 0;
+  return (
+    Math.max(queueMs, estimate.slotWaitMs) +
+    prefillMs(estimate.promptTokens, estimate.prefillTokensPerS)
+  );
+}
+
+/**
+ * Whether the first token is expected before both deadlines. Unknown rates
+ * count as no wait: a new process accepts until it has measured.
+ */
+export function canMeetDeadline(
+  estimate: ServiceEstimate,
+  deadlines: Deadlines,
+  nowMs: number,
+): boolean {
+  const firstTokenAtMs = nowMs + estimateFirstTokenMs(estimate);
+  const latestAtMs = Math.min(
+    deadlines.deadlineAtMs,
+    deadlines.firstTokenDeadlineAtMs,
+  );
+  return firstTokenAtMs <= latestAtMs;
+}
