Add specifications of the core protocols and their checker

Cause: the guarantees of the design need an exhaustive check of the protocols under lost, duplicated and reordered messages, crash, freeze and restart. Ruled out: one large model of the request path (more than 150,000 states); it is split into variants with one kind of fault each.

--- /dev/null
+++ b/packages/spec/src/cases.ts
@@ -0,0 +1,19 @@
+/** All specifications, in the order in which they are reported. */
+import type {SpecificationCase} from './specification_case.js';
+import {CLAIM_CASES} from './specifications/claim.js';
+import {CONFIGURATION_CASES} from './specifications/configuration.js';
+import {LEAVING_CASES} from './specifications/leaving.js';
+import {LEASE_CASES} from './specifications/lease.js';
+import {NOT_RUN_CASES} from './specifications/not_run.js';
+import {ORDER_CASES} from './specifications/orders.js';
+import {REQUEST_CASES} from './specifications/request.js';
+
+export const CASES: readonly SpecificationCase[] = [
+  ...REQUEST_CASES,
+  ...NOT_RUN_CASES,
+  ...CLAIM_CASES,
+  ...CONFIGURATION_CASES,
+  ...LEASE_CASES,
+  ...ORDER_CASES,
+  ...LEAVING_CASES,
+];
--- /dev/null
+++ b/packages/spec/src/specifications/not_run.ts
@@ -0,0 +1,196 @@
+/**
+ * "not run" and cancel of a call without idempotency key (design, section 5).
+ * The call travels on one connection, hence to one instance of the side; a
+ * cancel may travel on a newer connection, hence to a restarted side.
+ */
+import type {Specification, Successors} from '../checker.js';
+import {after, insert, send} from '../state_tools.js';
+import {defineCase, type SpecificationCase} from '../specification_case.js';
+
+interface NotRunState {
+  entry: string;
+  /** Answer given to the caller. */
+  ran: string;
+  side: {instance: number; call: string; cancelled: string[]};
+  effects: number;
+  network: string[];
+}
+
+export interface NotRunOptions {
+  readonly waitsForCancelled: boolean;
+  readonly remembersCancel: boolean;
+  readonly remembersCalls: boolean;
+  readonly answersUnknownWhileRunning: boolean;
+  readonly checksInstance: boolean;
+  readonly restarts: number;
+}
+
+const DEFAULTS: NotRunOptions = {
+  waitsForCancelled: true,
+  remembersCancel: true,
+  remembersCalls: true,
+  answersUnknownWhileRunning: true,
+  checksInstance: true,
+  restarts: 1,
+};
+
+const FIRST_INSTANCE = 1;
+
+function onCall(state: NotRunState, options: NotRunOptions): void {
+  const {side} = state;
+  if (side.instance !== FIRST_INSTANCE) return;
+  if (options.remembersCancel && side.cancelled.length > 0) return;
+  if (options.remembersCalls && side.call !== 'none') return;
+  side.call = 'queued';
+}
+
+function onCancel(state: NotRunState, options: NotRunOptions): void {
+  const {side} = state;
+  const hasRun = side.call === 'running' || side.call === 'done';
+  const ran = hasRun && options.answersUnknownWhileRunning;
+  if (!ran) {
+    side.call = side.call === 'queued' ? 'none' : side.call;
+    insert(side.cancelled, 'call');
+  }
+  const answer = ran ? 'unknown' : 'not_run';
+  send(state.network, `cancelled ${side.instance} ${answer}`);
+}
+
+function onCancelled(
+  state: NotRunState,
+  options: NotRunOptions,
+  message: string,
+): void {
+  const [, instance, ran] = message.split(' ');
+  if (state.entry !== 'cancelling') return;
+  const isSame = +instance === FIRST_INSTANCE;
+  state.entry = 'ended';
+  state.ran = options.checksInstance && !isSame ? 'unknown' : ran;
+}
+
+function deliver(state: NotRunState, options: NotRunOptions, message: string) {
+  if (message === 'call') onCall(state, options);
+  else if (message === 'cancel') onCancel(state, options);
+  else if (message.startsWith('cancelled')) {
+    onCancelled(state, options, message);
+  } else if (state.entry !== 'ended') {
+    state.entry = 'ended';
+    state.ran = 'ran';
+  }
+}
+
+function giveUp(state: NotRunState, options: NotRunOptions): void {
+  send(state.network, 'cancel');
+  state.entry = options.waitsForCancelled ? 'cancelling' : 'ended';
+  if (!options.waitsForCancelled) state.ran = 'not_run';
+}
+
+function successors(
+  state: NotRunState,
+  options: NotRunOptions,
+): Successors<NotRunState> {
+  const found: Array<readonly [string, NotRunState]> = [];
+  const add = (event: string, change: (draft: NotRunState) => void) =>
+    found.push([event, after(state, change)]);
+  const {entry, side} = state;
+  if (entry === 'accepted') {
+    add('entry sends the call', d => {
+      d.entry = 'sent';
+      send(d.network, 'call');
+    });
+    add('entry refuses the call', d => {
+      d.entry = 'ended';
+      d.ran = 'not_run';
+    });
+  }
+  if (entry === 'sent') add('entry gives up', d => giveUp(d, options));
+  if (entry === 'cancelling') {
+    add('entry hears nothing', d => {
+      d.entry = 'ended';
+      d.ran = 'unknown';
+    });
+  }
+  if (side.call === 'queued') {
+    add('side calls the service', d => {
+      d.side.call = 'running';
+      d.effects++;
+    });
+  }
+  if (side.call === 'running') {
+    add('service answers', d => {
+      d.side.call = 'done';
+      send(d.network, 'result');
+    });
+  }
+  if (side.instance <= options.restarts) {
+    add('side crashes and restarts', d => {
+      const instance = d.side.instance + 1;
+      d.side = {instance, call: 'none', cancelled: []};
+    });
+  }
+  for (const message of state.network) {
+    add(message, d => deliver(d, options, message));
+  }
+  return found;
+}
+
+export function buildNotRun(
+  given: Partial<NotRunOptions>,
+): Specification<NotRunState> {
+  const options = {...DEFAULTS, ...given};
+  return {
+    initial: {
+      entry: 'accepted',
+      ran: '',
+      side: {instance: FIRST_INSTANCE, call: 'none', cancelled: []},
+      effects: 0,
+      network: [],
+    },
+    successors: state => successors(state, options),
+    invariants: {
+      [NOT_RUN]: state => state.ran !== 'not_run' || state.effects === 0,
+      [AT_MOST_ONCE]: state => state.effects <= 1,
+    },
+    progress: {
+      name: 'the caller can always still be answered',
+      goal: state => state.ran !== '',
+    },
+  };
+}
+
+const NOT_RUN = 'a call answered not_run has not run and never will';
+const AT_MOST_ONCE = 'a call without key runs at most once';
+
+export const NOT_RUN_CASES: readonly SpecificationCase[] = [
+  defineCase<NotRunState, NotRunOptions>({
+    name: 'not run: cancel of a call without key',
+    build: buildNotRun,
+    controls: [
+      {
+        removed: 'the entry waits for cancelled',
+        options: {waitsForCancelled: false},
+        violates: NOT_RUN,
+      },
+      {
+        removed: 'the side remembers a cancel that precedes its call',
+        options: {remembersCancel: false},
+        violates: NOT_RUN,
+      },
+      {
+        removed: 'the side remembers the calls it has seen',
+        options: {remembersCalls: false},
+        violates: AT_MOST_ONCE,
+      },
+      {
+        removed: 'the side answers unknown for a call that it started',
+        options: {answersUnknownWhileRunning: false},
+        violates: NOT_RUN,
+      },
+      {
+        removed: 'only the instance that was sent the call confirms not_run',
+        options: {checksInstance: false},
+        violates: NOT_RUN,
+      },
+    ],
+  }),
+];
