--- /dev/null
+++ b/packages/azurecrank/src/core/calls/router_call_budget.ts
@@ -0,0 +1,18 @@
+/** Retry budget of calls, shared with the model requests of this entry. */
+import type {RetryReason} from '@azurecrank/core';
+import type {ChainRouter} from '../routing/chain_router.js';
+import {CallRetryBudget} from './call_transport.js';
+
+export class RouterCallBudget extends CallRetryBudget {
+  constructor(private readonly router: ChainRouter) {
+    super();
+  }
+
+  override take(reason: RetryReason): boolean {
+    return this.router.takeRetry(reason);
+  }
+
+  override recordSuccess(): void {
+    this.router.recordSuccess();
+  }
+}
--- a/packages/azurecrank/src/core/gateway/gateway.ts
+++ b/packages/azurecrank/src/core/gateway/gateway.ts
@@ -61,11 +61,14 @@
 
   /** Refuses with a problem document and counts the reason. */
   refuse(res: ServerResponse, refusal: Refusal): void {
-    const {reason} = refusal;
-    this.options.metrics.increment('azurecrank_refusals_total', {reason});
+    this.count(refusal);
     sendProblem(res, refusal, '');
   }
 
+  count({reason}: Refusal): void {
+    this.options.metrics.increment('azurecrank_refusals_total', {reason});
+  }
+
   /** Returns the caller, or answers with a refusal. */
   authenticate(req: IncomingMessage, res: ServerResponse): Caller | undefined {
     const reason = this.options.unavailable();
@@ -183,8 +186,7 @@
       onToken: text => sink.onToken(text),
       onEnd: (finish, promptTokens) => sink.onEnd(finish, promptTokens),
       onRefused: refusal => {
-        const {reason} = refusal;
-        this.options.metrics.increment('azurecrank_refusals_total', {reason});
+        this.count(refusal);
         sink.onRefused(refusal);
       },
     };
--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -102,6 +102,9 @@
   loadChartDefinition('request'),
 );
 
+/** Pause before a preempted or interrupted stream asks for a slot again. */
+const REOPEN_DELAY_MS = 250;
+
 /** A token that takes longer may have been lost on its way. */
 const STEP_RESEND_MS = 1000;
 
@@ -191,6 +194,7 @@
   /** The server of the head cannot be reached. */
   onHeadDown(address: PeerAddress): void {
     if (this.isEnded || this.chain?.stages[0].address !== address) return;
+    if (this.runner.state === 'routing') return;
     if (this.runner.state === 'queued') {
       this.openElsewhere('connect_failed');
     } else {
@@ -227,13 +231,15 @@
   private openMessage(chain: Chain): Open {
     const {deadlineAtMs, firstTokenDeadlineAtMs, ...rest} = this.spec;
     const nowMs = performance.now();
+    const hasStarted = this.generated.length > 0;
+    const firstTokenAtMs = hasStarted ? deadlineAtMs : firstTokenDeadlineAtMs;
     return {
       type: 'open',
       ...rest,
       attempt: this.attempt,
       generatedTokens: this.generated,
       deadlineMs: Math.max(0, deadlineAtMs - nowMs),
-      firstTokenDeadlineMs: Math.max(0, firstTokenDeadlineAtMs - nowMs),
+      firstTokenDeadlineMs: Math.max(0, firstTokenAtMs - nowMs),
       chain,
       entry: this.deps.transport.entry,
     };
@@ -254,6 +260,7 @@
     if (head) this.settle(head.address);
     if (message.reason === 'leaving')
       return this.openElsewhere('server_leaving');
+    if (this.generated.length > 0) return this.openLater();
     const isElsewhere =
       message.reason === 'queue_full' ||
       message.reason === 'workspace_queue_full' ||
@@ -302,7 +309,7 @@
     this.countRetry('preempted');
     this.releaseChain();
     this.attempt = nextAttempt(this.attempt);
-    this.open();
+    this.retryTimer = setTimeout(() => this.open(), REOPEN_DELAY_MS);
   }
 
   /** Replaces one stage; the others keep their caches. */
@@ -360,6 +367,13 @@
     this.open();
   }
 
+  /** A stream that has begun is not given up while its deadline allows. */
+  private openLater(): void {
+    this.attempt = nextAttempt(this.attempt);
+    this.runner.send({type: 'try_elsewhere'});
+    this.retryTimer = setTimeout(() => this.open(), REOPEN_DELAY_MS);
+  }
+
   private openElsewhere(reason: RetryReason): void {
     const head = this.chain?.stages[0];
     if (head) this.excluded.add(head.server);
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -25,6 +25,11 @@
   type PeerLink,
   type ServerId,
 } from '@azurecrank/core';
+import {CallDispatcher} from '../calls/call_dispatcher.js';
+import {PeerCallTransport} from '../calls/peer_call_transport.js';
+import {RouterCallBudget} from '../calls/router_call_budget.js';
+import {CallGateway} from '../gateway/call_gateway.js';
+import type {CallerDirectory} from '../gateway/caller_directory.js';
 import {ConfigDirectory} from '../gateway/config_directory.js';
 import {Gateway} from '../gateway/gateway.js';
 import {GenerationTable} from '../generation/generation_table.js';
@@ -36,6 +41,8 @@
 const DRAIN_CHECK_MS = 50;
 const PLACEMENT_PERIOD_MS = 1000;
 const RECONNECT_PERIOD_MS = 2000;
+const PLAN_WAIT_MS = 5000;
+const PLAN_CHECK_MS = 20;
 
 export class EntryProcess implements Disposable {
   readonly metrics = new Metrics();
@@ -53,6 +60,8 @@
     new Chart(loadChartDefinition('process')),
     {},
   );
+  private readonly callTransport: PeerCallTransport;
+  private calls: CallGateway | undefined;
   private isAccepting = true;
 
   constructor(private readonly settings: EntrySettings) {
@@ -75,6 +84,7 @@
           versions: () => this.documents.versions(),
           onMessage: (message, link) => this.receive(message, link),
           onPeerDown: address => this.notePeerDown(address),
+          onLost: lost => this.callTransport.onLost(lost),
           onConnectionReplaced: () =>
             this.metrics.increment('azurecrank_retries_total', {
               reason: 'connection_replaced',
@@ -83,6 +93,7 @@
         toSilenceOptions(settings),
       ),
     );
+    this.callTransport = new PeerCallTransport(this.peers);
     this.documents = this.store.add(
       new DocumentExchange({
         node,
@@ -116,9 +127,10 @@
     const {advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
     const {maxBodyBytes, maxRequests} = this.settings;
+    const directory = new ConfigDirectory(() => this.documents.config);
     const gateway = new Gateway({
       instance: this.instance,
-      directory: new ConfigDirectory(() => this.documents.config),
+      directory,
       generations: this.generations,
       generation: {
         transport: new PeerTransport(this.peers),
@@ -135,6 +147,8 @@
       },
     });
     gateway.addRoutes(this.health.app);
+    this.calls = this.createCallGateway(gateway, directory);
+    this.calls.addRoutes(this.health.app);
     const port = await this.health.listen(address, httpPort);
     await this.follow();
     this.lifecycle.send({type: 'configured'});
@@ -153,15 +167,19 @@
     await new Promise(resolve => setTimeout(resolve, balancerGraceMs));
     this.isAccepting = false;
     const deadlineMs = performance.now() + drainDeadlineMs;
-    while (this.generations.size > 0 && performance.now() < deadlineMs) {
+    while (!this.isIdle() && performance.now() < deadlineMs) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
-    const isDrained = this.generations.size === 0;
+    const isDrained = this.isIdle();
     this.lifecycle.send({type: isDrained ? 'drained' : 'deadline'});
     this.logger.info('stopped', {drained: isDrained});
     this[Symbol.dispose]();
   }
 
+  private isIdle(): boolean {
+    return this.generations.size === 0 && (this.calls?.inFlight ?? 0) === 0;
+  }
+
   [Symbol.dispose](): void {
     this.store[Symbol.dispose]();
   }
@@ -192,6 +210,19 @@
     this.store.add(placement).start();
     this.store.interval(() => this.connectHeads(), RECONNECT_PERIOD_MS);
     await this.documents.whenConfigured();
+    await this.waitForPlan();
+  }
+
+  /**
+   * Without a plan every request would be refused. A first installation has
+   * none until servers register, so the wait is bounded.
+   */
+  private async waitForPlan(): Promise<void> {
+    const deadlineMs = performance.now() + PLAN_WAIT_MS;
+    while (this.documents.plan.version === 0) {
+      if (performance.now() > deadlineMs) return;
+      await new Promise(resolve => setTimeout(resolve, PLAN_CHECK_MS));
+    }
   }
 
   /** Connections bring load reports and show when a lost server is back. */
@@ -212,6 +243,27 @@
     if (server) this.router.membership.noteHello(server, instance);
   }
 
+  private createCallGateway(
+    gateway: Gateway,
+    directory: CallerDirectory,
+  ): CallGateway {
+    const {router, metrics, instance} = this;
+    const {maxBodyBytes} = this.settings;
+    return new CallGateway({
+      instance,
+      gateway,
+      directory,
+      dispatcher: new CallDispatcher(
+        this.callTransport,
+        new RouterCallBudget(router),
+        metrics,
+      ),
+      maxBodyBytes,
+      servers: service =>
+        router.membership.usableServers(this.documents.plan, service),
+    });
+  }
+
   private declareCounters(): void {
     this.metrics.declareCounter(
       'azurecrank_refusals_total',
@@ -235,8 +287,14 @@
         return this.router.takeReport(message);
       case 'leaving':
         return this.router.noteLeaving(toId<ServerId>(message.node));
-      case 'granted':
+      case 'call_result':
+      case 'cancelled':
+        this.callTransport.receive(message);
+        return;
       case 'refused':
+        if (this.callTransport.receive(message)) return;
+        return this.generations.receive(message);
+      case 'granted':
       case 'token':
       case 'gap':
       case 'stage_failed':
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -3,6 +3,7 @@
   LoadView,
   MembershipView,
   PrefixIndex,
+  RETRY_RULES,
   RetryBudget,
   chooseChain,
   chooseSubset,
@@ -136,6 +137,12 @@
     return decision.kind === 'retry';
   }
 
+  /** Takes a retry whose other conditions the caller has checked. */
+  takeRetry(reason: RetryReason): boolean {
+    if (!RETRY_RULES[reason].costsBudget) return true;
+    return this.budget.take(performance.now());
+  }
+
   override recordSuccess(): void {
     this.budget.succeeded(performance.now());
   }
--- /dev/null
+++ b/packages/bench/src/fleet/call_client.ts
@@ -0,0 +1,53 @@
+/** A plain HTTP client of the plain services. */
+import {request} from 'undici';
+
+export interface CallOptions {
+  readonly url: string;
+  readonly bearerKey: string;
+  readonly service: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+  readonly idempotencyKey?: string;
+  /** Counted by the stand-in service. */
+  readonly reference?: string;
+}
+
+export interface CallOutcome {
+  readonly status: number;
+  readonly body: unknown;
+  readonly isReplayed: boolean;
+  readonly reason: string;
+  readonly ran: string;
+}
+
+/** Sends one call; a lost connection has status 0. */
+export async function callService(options: CallOptions): Promise<CallOutcome> {
+  const {url, service, path, method, idempotencyKey, reference} = options;
+  try {
+    const response = await request(`${url}/services/${service}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${options.bearerKey}`,
+        'content-type': 'application/json',
+        ...(idempotencyKey && {'idempotency-key': idempotencyKey}),
+        ...(reference && {'x-reference': reference}),
+      },
+      body: options.body,
+    });
+    const body = (await response.body.json()) as {
+      reason?: string;
+      ran?: string;
+    };
+    return {
+      status: response.statusCode,
+      body,
+      isReplayed: response.headers['idempotency-replayed'] === 'true',
+      reason: body.reason ?? '',
+      ran: body.ran ?? '',
+    };
+  } catch (error) {
+    const reason = `connection: ${String(error)}`;
+    return {status: 0, body: {}, isReplayed: false, reason, ran: 'unknown'};
+  }
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,3 +6,4 @@
 /** Placeholder until the package has a public surface. */
 export const PACKAGE = 'bench';
 export * from './benches/claims.js';
+export * from './fleet/call_client.js';
--- a/packages/core/src/core/wire/peer_link.ts
+++ b/packages/core/src/core/wire/peer_link.ts
@@ -7,6 +7,20 @@
 import type {Hello, Message} from './messages.js';
 import type {PeerConnection} from './peer_connection.js';
 
+interface Unanswered {
+  readonly message: Message;
+  /** Whether the message may be sent again on a new connection. */
+  readonly isRepeatable: boolean;
+}
+
+/** A message that must not be repeated and whose connection was lost. */
+export interface LostMessage {
+  readonly key: string;
+  readonly message: Message;
+  /** False only if it provably never left this process. */
+  readonly mayHaveLeft: boolean;
+}
+
 export class PeerLink {
   connection: PeerConnection | undefined;
   hello: Hello | undefined;
@@ -15,7 +29,7 @@
   /** Whether the connection replaces one that was lost with open answers. */
   isRedial = false;
   readonly detector: SilenceDetector;
-  private readonly unanswered = new Map<string, Message>();
+  private readonly unanswered = new Map<string, Unanswered>();
 
   constructor(
     /** Address this process connects to; empty for accepted connections. */
@@ -30,8 +44,8 @@
     return this.hello?.node ?? this.connection?.remote ?? this.address;
   }
 
-  get unansweredMessages(): ReadonlyMap<string, Message> {
-    return this.unanswered;
+  get hasUnanswered(): boolean {
+    return this.unanswered.size > 0;
   }
 
   /** Sends now, or once connected. Returns false if the link is closed. */
@@ -41,10 +55,13 @@
     return true;
   }
 
-  /** Sends a message that is sent again on a new connection until settled. */
-  sendExpecting(key: string, message: Message): void {
+  /**
+   * Sends a message and expects signs of life until it is settled.
+   * @param isRepeatable whether it is sent again on a new connection.
+   */
+  sendExpecting(key: string, message: Message, isRepeatable = true): void {
     if (!this.unanswered.has(key)) this.notify('sent_expecting_answer');
-    this.unanswered.set(key, message);
+    this.unanswered.set(key, {message, isRepeatable});
     this.send(message);
   }
 
@@ -55,11 +72,23 @@
   /** Queues the unanswered messages for the next connection. */
   requeueUnanswered(): void {
     const waiting = new Set(this.unsent);
-    for (const message of this.unanswered.values()) {
+    for (const {message} of this.unanswered.values()) {
       if (!waiting.has(message)) this.unsent.push(message);
     }
   }
 
+  /** Removes and returns the messages that must not be sent again. */
+  takeLost(): LostMessage[] {
+    const neverLeft = new Set(this.unsent);
+    const lost = [...this.unanswered]
+      .filter(([, {isRepeatable}]) => !isRepeatable)
+      .map(([key, {message}]) => {
+        return {key, message, mayHaveLeft: !neverLeft.has(message)};
+      });
+    for (const {key} of lost) this.settle(key);
+    return lost;
+  }
+
   /** Uses `connection` from now on and sends what waits. */
   attach(connection: PeerConnection): void {
     this.connection = connection;
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -12,7 +12,7 @@
 import {PauseMonitor} from '../lifecycle/pause_monitor.js';
 import type {Hello, Message} from './messages.js';
 import {PeerConnection} from './peer_connection.js';
-import {PeerLink} from './peer_link.js';
+import {PeerLink, type LostMessage} from './peer_link.js';
 
 /** Time allowed for a TCP connection to be established. */
 const CONNECT_TIMEOUT_MS = 1000;
@@ -34,17 +34,10 @@
   versions(): PeerVersions;
   /** Also answers `ping`, which keeps the connection from being replaced. */
   onMessage(message: Message, from: PeerLink): void;
-  /**
-   * A process cannot be reached any more, by a new connection either.
-   * @param unanswered messages that were sent and not settled.
-   * @param unsent messages that provably never left this process.
-   */
-  onPeerDown?(
-    address: PeerAddress,
-    cause: string,
-    unanswered: ReadonlyMap<string, Message>,
-    unsent: readonly Message[],
-  ): void;
+  /** A process cannot be reached any more, by a new connection either. */
+  onPeerDown?(address: PeerAddress, cause: string): void;
+  /** The connection of a message that must not be repeated was lost. */
+  onLost?(lost: LostMessage): void;
   /** A silent connection was replaced; the peer is well. */
   onConnectionReplaced?(address: PeerAddress): void;
 }
@@ -119,6 +112,11 @@
     this.link(address).sendExpecting(key, message);
   }
 
+  /** Sends a message that must not be repeated; `onLost` reports its loss. */
+  sendOnce(address: PeerAddress, key: string, message: Message): void {
+    this.link(address).sendExpecting(key, message, false);
+  }
+
   settle(address: PeerAddress, key: string): void {
     this.outgoing.get(address)?.settle(key);
   }
@@ -219,7 +217,8 @@
     link.connection = undefined;
     this.accepted.delete(link);
     if (this.outgoing.get(link.address) !== link) return;
-    if (link.unansweredMessages.size === 0 || this.isDisposed) {
+    this.reportLost(link);
+    if (!link.hasUnanswered || this.isDisposed) {
       this.outgoing.delete(link.address);
       return;
     }
@@ -235,8 +234,12 @@
     const {connection} = link;
     link.connection = undefined;
     connection?.close(cause);
-    const {address, unansweredMessages, unsent} = link;
-    this.handlers.onPeerDown?.(address, cause, unansweredMessages, unsent);
+    this.reportLost(link);
+    this.handlers.onPeerDown?.(link.address, cause);
+  }
+
+  private reportLost(link: PeerLink): void {
+    for (const lost of link.takeLost()) this.handlers.onLost?.(lost);
   }
 
   private checkHealth(): void {
@@ -297,6 +300,7 @@
 
   private replaceConnection(link: PeerLink, connection: PeerConnection): void {
     const silent = link.connection;
+    this.reportLost(link);
     link.requeueUnanswered();
     link.attach(connection);
     silent?.close('replaced');
--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -1,10 +1,16 @@
 /**
  * Admission of model requests at the first stage of a chain: requests of all
- * entries wait here and take one of a limited number of slots.
+ * entries wait in one fair queue and take one of a limited number of slots.
  */
 import {
-  type Cancel,
+  ConcurrencyLimit,
+  ExpectedOutput,
+  FairQueue,
   RANKS,
+  SlotRules,
+  canMeetDeadline,
+  refuse,
+  type Cancel,
   type Engine,
   type LoadReport,
   type Logger,
@@ -13,9 +19,14 @@
   type Refusal,
   type Release,
   type RequestId,
-  refuse,
+  type ReservedShares,
+  type ServiceId,
+  type SlotState,
+  type StepMessage,
 } from '@azurecrank/core';
 import type {StageTransport} from '../sequences/stage.js';
+import {RateMeter} from './rate_meter.js';
+import {Slot, toQueuedOpen, type QueuedOpen} from './slot.js';
 
 export interface HeadOptions {
   readonly engine: Engine;
@@ -24,27 +35,36 @@
   readonly logger: Logger;
   readonly node: string;
   readonly maxQueuedRequests: number;
-}
-
-interface Slot {
-  readonly open: Open;
-  promptTokens: readonly number[] | undefined;
+  readonly maxQueuedPerWorkspace: number;
+  readonly urgentReserveSlots: number;
+  readonly reservedShares?: ReservedShares;
 }
 
 export class Head {
-  private readonly waiting: Open[] = [];
+  private readonly queue: FairQueue<QueuedOpen>;
   private readonly slots = new Map<RequestId, Slot>();
-  private slotLimit = 0;
+  private readonly rules: SlotRules;
+  private readonly outputs = new ExpectedOutput<ServiceId>();
+  private readonly rate = new RateMeter();
+  private limit = new ConcurrencyLimit({min: 1, max: 1});
+  private maxSlots = 1;
   private isLeaving = false;
 
-  constructor(private readonly options: HeadOptions) {}
+  constructor(private readonly options: HeadOptions) {
+    this.queue = new FairQueue({
+      maxItems: options.maxQueuedRequests,
+      maxPerWorkspace: options.maxQueuedPerWorkspace,
+      reservedShares: options.reservedShares,
+    });
+    this.rules = new SlotRules(options);
+  }
 
   get runningRequests(): number {
     return this.slots.size;
   }
 
   get waitingRequests(): number {
-    return this.waiting.length;
+    return this.queue.size;
   }
 
   /** What entries need to know to choose between chains. */
@@ -52,99 +72,170 @@
     LoadReport,
     'queueCostByRank' | 'running' | 'limit' | 'stepMs' | 'prefixes'
   > {
-    const queueCostByRank = RANKS.map(rank =>
-      this.waiting
-        .filter(open => open.rank === rank)
-        .reduce((sum, open) => sum + open.maxTokens, 0),
-    );
-    const stepMs = this.options.metrics.percentileMs(
-      'azurecrank_engine_batch_ms',
-      50,
-    );
     return {
-      queueCostByRank,
+      queueCostByRank: this.queue.outstandingCostByRank(),
       running: this.slots.size,
-      limit: this.slotLimit,
-      stepMs,
+      limit: this.limit.limit,
+      stepMs: this.limit.stepMs,
       prefixes: [],
     };
   }
 
-  setSlotLimit(limit: number): void {
-    this.slotLimit = limit;
+  /** Sequences for which the engine has memory. */
+  setMaxSlots(maxSlots: number): void {
+    if (maxSlots === this.maxSlots) return;
+    this.maxSlots = maxSlots;
+    const min = Math.max(1, Math.ceil(maxSlots / 4));
+    this.limit = new ConcurrencyLimit({min, max: maxSlots});
     this.grantWaiting();
   }
 
   /** Refuses what waits and everything that comes. */
   leave(): void {
     this.isLeaving = true;
-    for (const open of this.waiting.splice(0)) {
-      this.refuse(open, refuse('leaving', 'queue'));
+    for (;;) {
+      const item = this.queue.next(-Infinity);
+      if (!item) return;
+      this.queue.settle(item, 0);
+      this.refuse(item.open, refuse('leaving', 'queue'));
     }
   }
 
   open(open: Open): void {
     const slot = this.slots.get(open.request);
-    if (slot && slot.open.attempt >= open.attempt) return this.grant(slot);
-    if (this.waiting.some(({request}) => request === open.request)) return;
+    if (slot && slot.attempt >= open.attempt) return this.grant(slot);
+    if (slot) this.free(slot);
     if (this.isLeaving) return this.refuse(open, refuse('leaving', 'queue'));
-    if (this.waiting.length >= this.options.maxQueuedRequests) {
-      return this.refuse(open, refuse('queue_full', 'queue'));
+    // A repeated open replaces the one that waits.
+    this.queue.remove(open.request);
+    const nowMs = performance.now();
+    const item = toQueuedOpen(open, this.expectedOutput(open), nowMs);
+    if (!this.canServe(item, nowMs)) {
+      return this.refuse(open, refuse('deadline_unreachable', 'queue'));
+    }
+    for (const refused of this.queue.enqueue(item).refused) {
+      this.refuse(refused.item.open, refuse(refused.reason, 'queue'));
     }
-    this.waiting.push(open);
     this.grantWaiting();
   }
 
+  /** Returns whether the request was waiting and will not be granted. */
   cancel(message: Cancel): boolean {
-    const index = this.waiting.findIndex(
-      ({request}) => request === message.request,
-    );
-    if (index < 0) return false;
-    this.waiting.splice(index, 1);
-    return true;
+    return this.queue.remove(message.request) !== undefined;
   }
 
   release(message: Release): void {
     const slot = this.slots.get(message.request);
-    if (!slot || slot.open.attempt > message.attempt) return;
-    this.slots.delete(message.request);
-    this.options.transport.settle(slot.open.entry, grantKey(message.request));
+    if (!slot || slot.attempt > message.attempt) return;
+    this.free(slot);
     this.grantWaiting();
   }
 
-  /** The first step shows that the grant has arrived. */
-  confirmGrant(request: RequestId): void {
-    const slot = this.slots.get(request);
-    if (slot) this.options.transport.settle(slot.open.entry, grantKey(request));
+  /** A step shows that the grant has arrived and how fast tokens flow. */
+  noteStep(message: StepMessage): void {
+    const slot = this.slots.get(message.request);
+    if (!slot) return;
+    this.options.transport.settle(slot.item.open.entry, slot.grantKey);
+    const nowMs = performance.now();
+    this.rate.add(message.tokens.length, nowMs);
+    const betweenMs = slot.noteStep(message, nowMs);
+    if (betweenMs === undefined) return;
+    this.limit.observe(betweenMs, this.slots.size, nowMs);
+    this.options.metrics.observeMs('azurecrank_between_steps_ms', betweenMs);
+  }
+
+  /** Drops what can no longer be served in time and fills free slots. */
+  tick(): void {
+    for (const {open} of this.queue.expire(performance.now())) {
+      this.refuse(open, refuse('deadline_unreachable', 'queue'));
+    }
+    this.grantWaiting();
+  }
+
+  private expectedOutput(open: Open): number {
+    return this.outputs.expect(open.service, open.maxTokens);
+  }
+
+  private canServe(item: QueuedOpen, nowMs: number): boolean {
+    const isFree = this.slots.size < this.limit.limit;
+    const servedTokensPerS = isFree ? 0 : this.rate.perSecond(nowMs);
+    return canMeetDeadline(
+      {
+        costAheadTokens: this.queue.costAhead(item),
+        servedTokensPerS,
+        slotWaitMs: 0,
+        promptTokens: 0,
+        prefillTokensPerS: 0,
+      },
+      item,
+      nowMs,
+    );
   }
 
   private grantWaiting(): void {
-    while (this.slots.size < this.slotLimit) {
-      const open = this.waiting.shift();
-      if (!open) return;
-      const slot: Slot = {open, promptTokens: undefined};
-      this.slots.set(open.request, slot);
+    const nowMs = performance.now();
+    for (;;) {
+      const filter = this.rules.filter(this.slotState());
+      const item = this.queue.next(nowMs, filter);
+      if (!item) break;
+      const slot = new Slot(item, this.queue.usedReservedShare(item), nowMs);
+      this.slots.set(item.request, slot);
+      this.options.metrics.observeMs(
+        'azurecrank_head_wait_ms',
+        nowMs - item.enqueuedAtMs,
+        {rank: item.rank},
+      );
       void this.tokenize(slot);
     }
+    this.preemptIfNeeded();
+  }
+
+  private preemptIfNeeded(): void {
+    const chosen = this.rules.preempt(this.slotState());
+    const slot = chosen && this.slots.get(chosen.request);
+    if (!slot || slot.isPreempted) return;
+    slot.isPreempted = true;
+    this.options.metrics.increment('azurecrank_preemptions_total');
+    const {attempt} = slot;
+    const {request, entry} = slot.item.open;
+    this.options.transport.send(entry, {type: 'preempt', request, attempt});
+  }
+
+  private slotState(): SlotState {
+    return {
+      limit: this.limit.limit,
+      running: [...this.slots.values()],
+      isUrgentWaiting: this.queue.isWaiting(RANKS[0]),
+    };
+  }
+
+  private free(slot: Slot): void {
+    const {open} = slot.item;
+    this.slots.delete(open.request);
+    this.options.transport.settle(open.entry, slot.grantKey);
+    this.queue.settle(slot.item, slot.positions);
+    const generated = slot.positions - slot.promptLength;
+    if (generated > 0) this.outputs.observe(open.service, generated);
   }
 
   private async tokenize(slot: Slot): Promise<void> {
-    const {open} = slot;
+    const {open} = slot.item;
     try {
       slot.promptTokens = await this.options.engine.tokenize(open.prompt);
-      this.grant(slot);
+      if (this.slots.get(open.request) === slot) this.grant(slot);
     } catch (error) {
-      this.slots.delete(open.request);
+      this.free(slot);
       const detail = String(error);
       this.refuse(open, refuse('service_failed', 'prefill', {detail}));
       this.grantWaiting();
     }
   }
 
-  private grant({open, promptTokens}: Slot): void {
+  private grant(slot: Slot): void {
+    const {promptTokens, attempt} = slot;
     if (!promptTokens) return;
-    const {request, attempt, entry} = open;
-    this.options.transport.sendExpecting(entry, grantKey(request), {
+    const {request, entry} = slot.item.open;
+    this.options.transport.sendExpecting(entry, slot.grantKey, {
       type: 'granted',
       request,
       attempt,
@@ -169,7 +260,3 @@
     });
   }
 }
-
-function grantKey(request: RequestId): string {
-  return `granted:${request}`;
-}
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -39,6 +39,9 @@
 /** Period of the reports to the entries that follow this head. */
 const LOAD_REPORT_MS = 1000;
 
+/** Period at which waiting requests that are too late are refused. */
+const HEAD_TICK_MS = 50;
+
 /** Period at which the engine is compared with the plan. */
 const RECONCILE_MS = 2000;
 
@@ -65,6 +68,7 @@
     this.head = new Head(common);
     this.store.interval(() => this.stage.releaseOrphans(), ORPHAN_SWEEP_MS);
     this.store.interval(() => this.reportLoad(), LOAD_REPORT_MS);
+    this.store.interval(() => this.head.tick(), HEAD_TICK_MS);
     this.addGauges();
   }
 
@@ -120,7 +124,7 @@
       case 'open':
         return this.head.open(message);
       case 'step':
-        this.head.confirmGrant(message.request);
+        this.head.noteStep(message);
         return this.stage.takeInput(message);
       case 'activation':
         return this.stage.takeInput(message);
@@ -148,7 +152,7 @@
 
   private takeInfo(info: EngineInfo): void {
     this.stage.setInfo(info);
-    this.head.setSlotLimit(info.maxSequences);
+    this.head.setMaxSlots(info.maxSequences);
   }
 
   private reportLoad(): void {
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -27,6 +27,7 @@
   type RegistrationDraft,
 } from '../registration/registration.js';
 import {ModelServer} from './model_server.js';
+import {ServiceServer} from './service_server.js';
 
 const DRAIN_CHECK_MS = 50;
 
@@ -45,6 +46,7 @@
     {},
   );
   private model: ModelServer | undefined;
+  private service: ServiceServer | undefined;
 
   constructor(private readonly settings: SideSettings) {
     const {node, logLevel} = settings;
@@ -80,6 +82,7 @@
     await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
     const engine = await this.startModel();
+    this.startService();
     const registration = await registerServer(
       this.keyValue,
       this.draftRegistration('live', engine),
@@ -100,6 +103,7 @@
     if (!this.lifecycle.send({type: 'stop'})) return;
     this.logger.info('leaving');
     this.model?.leave();
+    this.service?.leave();
     this.peers.broadcast({type: 'leaving', node: this.settings.server});
     await this.drain();
     this[Symbol.dispose]();
@@ -132,12 +136,29 @@
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
     const isDrained = this.isIdle();
+    if (isDrained) await this.service?.drained();
     this.lifecycle.send({type: isDrained ? 'drained' : 'deadline'});
     this.logger.info('stopped', {drained: isDrained});
   }
 
   private isIdle(): boolean {
-    return this.model?.isIdle ?? true;
+    return (this.model?.isIdle ?? true) && (this.service?.isIdle ?? true);
+  }
+
+  private startService(): void {
+    const {serviceUrl, service} = this.settings;
+    if (!serviceUrl || service === undefined) return;
+    this.service = this.store.add(
+      new ServiceServer({
+        settings: this.settings,
+        serviceUrl,
+        service: toId<ServiceId>(service),
+        instance: this.instance,
+        keyValue: this.keyValue,
+        metrics: this.metrics,
+        pauses: this.pauses,
+      }),
+    );
   }
 
   private async startModel(): Promise<EngineInfo | undefined> {
@@ -179,5 +200,6 @@
   private receive(message: Message, link: PeerLink): void {
     if (this.documents.handle(message, link)) return;
     this.model?.receive(message, link);
+    this.service?.receive(message, link);
   }
 }
--- a/packages/side/src/core/sequences/stage_runner.ts
+++ b/packages/side/src/core/sequences/stage_runner.ts
@@ -1,9 +1,11 @@
 /**
  * Feeds the engine one batch at a time: while a batch runs, arriving steps
- * gather and form the next one, the most urgent first.
+ * gather; the next one is formed by rank and with a bound on prompt tokens.
  */
 import {
-  rankIndex,
+  BatchFormer,
+  type BatchLimits,
+  type BatchPick,
   type Engine,
   type EngineOutput,
   type EngineStep,
@@ -18,24 +20,83 @@
   done(output: EngineOutput, durationMs: number): void;
 }
 
+/** A step of which some positions may have run already. */
+class PendingWork {
+  private readonly chunks: Uint8Array[] = [];
+  private donePositions = 0;
+
+  constructor(readonly work: StageWork) {}
+
+  get request(): RequestId {
+    return this.work.request;
+  }
+
+  get rank(): Rank {
+    return this.work.rank;
+  }
+
+  /** Positions that remain to be run. */
+  get count(): number {
+    return this.work.step.count - this.donePositions;
+  }
+
+  /** The next `take` positions as a step of their own. */
+  nextStep(take: number): EngineStep {
+    const {step} = this.work;
+    const from = this.donePositions;
+    const bytesPerPosition = (step.data?.length ?? 0) / step.count;
+    return {
+      ...step,
+      position: step.position + from,
+      count: take,
+      tokens: step.tokens?.slice(from, from + take),
+      data: step.data?.subarray(
+        from * bytesPerPosition,
+        (from + take) * bytesPerPosition,
+      ),
+    };
+  }
+
+  /** Takes a batch's output; returns true when the step has ended. */
+  finish(take: number, output: EngineOutput, durationMs: number): boolean {
+    this.donePositions += take;
+    if (output.kind === 'activation') this.chunks.push(output.data);
+    const isOver = output.kind === 'failed' || this.count === 0;
+    if (isOver) this.work.done(this.wholeOutput(output), durationMs);
+    return isOver;
+  }
+
+  private wholeOutput(output: EngineOutput): EngineOutput {
+    const isPart = output.kind === 'activation' && this.chunks.length > 1;
+    return isPart ? {...output, data: Buffer.concat(this.chunks)} : output;
+  }
+}
+
 /** Bounds the time that a batch can delay an urgent step behind it. */
-const MAX_BATCH_STEPS = 64;
+export const DEFAULT_BATCH_LIMITS: BatchLimits = {
+  maxSteps: 64,
+  maxPromptTokens: 2048,
+  promptTokensBesideHigher: 256,
+};
 
 export class StageRunner {
-  private readonly queue: StageWork[] = [];
+  private queue: PendingWork[] = [];
+  private readonly former: BatchFormer<PendingWork>;
   private isRunning = false;
 
   constructor(
     private readonly engine: Engine,
-    private readonly maxBatchSteps = MAX_BATCH_STEPS,
-  ) {}
+    limits: BatchLimits = DEFAULT_BATCH_LIMITS,
+  ) {
+    this.former = new BatchFormer(limits);
+  }
 
   get queuedSteps(): number {
     return this.queue.length;
   }
 
   submit(work: StageWork): void {
-    this.queue.push(work);
+    this.queue.push(new PendingWork(work));
     if (!this.isRunning) void this.runAll();
   }
 
@@ -43,29 +104,38 @@
     this.isRunning = true;
     // Steps that arrive in the same turn of the event loop share a batch.
     await new Promise(resolve => setImmediate(resolve));
-    while (this.queue.length > 0) await this.runBatch(this.takeBatch());
+    while (this.queue.length > 0) {
+      await this.runBatch(this.former.form(this.queue, performance.now()));
+    }
     this.isRunning = false;
   }
 
-  private takeBatch(): StageWork[] {
-    this.queue.sort((a, b) => rankIndex(a.rank) - rankIndex(b.rank));
-    return this.queue.splice(0, this.maxBatchSteps);
+  private async runBatch(
+    picks: readonly BatchPick<PendingWork>[],
+  ): Promise<void> {
+    const startMs = performance.now();
+    const steps = picks.map(({step, take}) => step.nextStep(take));
+    const outputs = await this.callEngine(steps);
+    const durationMs = performance.now() - startMs;
+    const ended = new Set(
+      picks
+        .filter(({step, take}, index) =>
+          step.finish(take, outputs[index], durationMs),
+        )
+        .map(({step}) => step),
+    );
+    this.queue = this.queue.filter(pending => !ended.has(pending));
   }
 
-  private async runBatch(batch: readonly StageWork[]): Promise<void> {
-    const startMs = performance.now();
-    let outputs: EngineOutput[];
+  /** An engine that does not answer fails every step of the batch. */
+  private async callEngine(
+    steps: readonly EngineStep[],
+  ): Promise<EngineOutput[]> {
     try {
-      outputs = await this.engine.run(batch.map(({step}) => step));
+      return await this.engine.run(steps);
     } catch (error) {
       const cause = String(error);
-      outputs = batch.map(({step}) => ({
-        kind: 'failed',
-        sequence: step.sequence,
-        cause,
-      }));
+      return steps.map(({sequence}) => ({kind: 'failed', sequence, cause}));
     }
-    const durationMs = performance.now() - startMs;
-    batch.forEach((work, index) => work.done(outputs[index], durationMs));
   }
 }
