--- a/packages/core/src/core/routing/prefix_index.ts
+++ b/packages/core/src/core/routing/prefix_index.ts
@@ -76,7 +76,11 @@
     this.trim(known, nowMs);
   }
 
-  /** Number of leading blocks that the server probably holds. */
+  /**
+   * Number of leading blocks that the server probably holds. The deepest known
+   * hash counts even if an earlier one is unknown: a cache cannot hold a prefix
+   * without its beginning, and an event may have been lost.
+   */
   matchedBlocks(
     server: ServerId,
     hashes: readonly number[],
@@ -84,11 +88,11 @@
   ): number {
     const known = this.servers.get(server);
     if (!known) return 0;
-    const missing = hashes.findIndex(hash => {
+    const deepest = hashes.findLastIndex(hash => {
       const heldAtMs = known.heldAtMs.get(hash);
-      return heldAtMs === undefined || this.isExpired(heldAtMs, nowMs);
+      return heldAtMs !== undefined && !this.isExpired(heldAtMs, nowMs);
     });
-    return missing < 0 ? hashes.length : missing;
+    return deepest + 1;
   }
 
   /** Hashes held by a server, latest first, for its own load report. */
--- /dev/null
+++ b/packages/core/test/membership_test.ts
@@ -0,0 +1,82 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  EMPTY_PLAN,
+  MembershipView,
+  type HostId,
+  type Plan,
+  type ServerRegistration,
+} from '../src/index.js';
+import {createEngine} from './placement_fixtures.js';
+
+const REGISTRATION = createEngine('s1');
+const {server} = REGISTRATION;
+const HOST = REGISTRATION.host as HostId;
+
+function createView(changes: Partial<ServerRegistration> = {}): MembershipView {
+  const view = new MembershipView();
+  view.updateRegistrations([{...REGISTRATION, ...changes}]);
+  return view;
+}
+
+const listed = (state: 'live' | 'leaving') => [
+  {host: HOST, availabilityZone: 'z1', state},
+];
+
+describe('membership', () => {
+  it('gives work to a new host that the list does not show yet', () => {
+    const view = createView();
+    view.updateHosts([]);
+    expect(view.mayGetNewWork(server)).toEqual(true);
+  });
+
+  it('trusts any source that says a server is leaving', () => {
+    const registered = createView({state: 'leaving'});
+    expect(registered.ineligibility(server)).toEqual('registered_leaving');
+    const view = createView();
+    view.updateHosts(listed('leaving'));
+    expect(view.ineligibility(server)).toEqual('host_leaving');
+    view.updateHosts(listed('live'));
+    view.noteLeaving(server);
+    expect(view.ineligibility(server)).toEqual('notice');
+  });
+
+  it('gives no work to a host that has vanished from the list', () => {
+    const view = createView();
+    view.updateHosts(listed('live'));
+    view.updateHosts([]);
+    expect(view.ineligibility(server)).toEqual('host_gone');
+  });
+
+  it('keeps a notice against lagging registrations of the same run', () => {
+    const view = createView();
+    view.noteLeaving(server);
+    view.updateRegistrations([REGISTRATION]);
+    expect(view.mayGetNewWork(server)).toEqual(false);
+  });
+
+  it('drops a notice when the server comes back as a new run', () => {
+    const byRegistration = createView();
+    byRegistration.noteLeaving(server);
+    byRegistration.updateRegistrations([{...REGISTRATION, instance: 'run-2'}]);
+    expect(byRegistration.mayGetNewWork(server)).toEqual(true);
+    const byHello = createView();
+    byHello.noteLeaving(server);
+    byHello.noteHello(server, 'run-2');
+    expect(byHello.mayGetNewWork(server)).toEqual(true);
+  });
+
+  it('leaves out chains with a server that is down, but still plans them', () => {
+    const view = createView();
+    const plan = {
+      ...EMPTY_PLAN,
+      chains: [{stages: [{server}]}],
+    } as unknown as Plan;
+    expect(view.usableChains(plan).length).toEqual(1);
+    view.noteDown(server);
+    expect(view.usableChains(plan)).toEqual([]);
+    expect(view.placeable([REGISTRATION])).toEqual([REGISTRATION]);
+    view.noteUp(server);
+    expect(view.usableChains(plan).length).toEqual(1);
+  });
+});
