--- a/packages/bench/src/benches/throughput_plan.ts
+++ b/packages/bench/src/benches/throughput_plan.ts
@@ -118,7 +118,7 @@
   const replannedMs = performance.now();
   const before = new Set(plan.chains.map(chain => JSON.stringify(chain)));
   const kept = next.chains.filter(chain => before.has(JSON.stringify(chain)));
-  const bound = hardwareBound(servers, 1, SEQUENCES_PER_BATCH);
+  const bound = hardwareBound(servers, 1);
   const equal = equalSplit(servers, BENCH_MODELS);
   return {
     ratioToBound: layersPerS(plan, servers) / bound,
@@ -130,10 +130,14 @@
   };
 }
 
-/** Tokens of models with more layers count for more work. */
-function layersPerS(
+/**
+ * Executed layers per second over all models, for batches of
+ * `sequencesPerBatch` tokens. Makes models of different depth comparable.
+ */
+export function layersPerS(
   plan: Plan,
   servers: readonly ServerRegistration[],
+  sequencesPerBatch = 1,
 ): number {
   return BENCH_MODELS.reduce((sum, {model, layers}) => {
     const chains = plan.chains.filter(chain => chain.model === model);
@@ -142,7 +146,7 @@
       part,
       servers,
       fleetLinks,
-      SEQUENCES_PER_BATCH,
+      sequencesPerBatch,
     );
     return sum + tokensPerS * layers;
   }, 0);
--- a/packages/bench/test/plan_benches_test.ts
+++ b/packages/bench/test/plan_benches_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {runChainChoice} from '../src/benches/chain_choice.js';
+import {measureChurn} from '../src/benches/plan_churn.js';
 import {runThroughputPlan} from '../src/benches/throughput_plan.js';
 
 const seed = Number(process.env['SEED'] ?? Date.now() % 1_000_000);
@@ -12,6 +13,12 @@
     expect(runThroughputPlan(seed, 200).result.met).toEqual(true);
   });
 
+  it('keeps the throughput while servers come and go', () => {
+    // Without rebuilds 10 seeds ended between 0.84 and 0.90 of the bound.
+    const churn = {events: 100, rebuildChains: 6, rebuildEvery: 10};
+    expect(measureChurn(seed, churn).lastRatioToBound >= 0.9).toEqual(true);
+  });
+
   it('chooses chains better than the baselines under late reports', () => {
     const {result} = runChainChoice(seed, {chains: 12, durationMs: 20_000});
     expect(result.met).toEqual(true);
--- a/packages/core/src/core/placement/form_groups.ts
+++ b/packages/core/src/core/placement/form_groups.ts
@@ -12,6 +12,8 @@
 export interface Group {
   readonly stages: readonly ChainStage[];
   readonly servers: readonly EngineServer[];
+  /** Batches per second. */
+  readonly rate: number;
 }
 
 interface Candidate {
@@ -152,7 +154,8 @@
 }
 
 function toGroup({servers, split}: Candidate): Group {
-  return {servers, stages: toStages(servers, split.counts)};
+  const rate = 1000 / split.slowestMs;
+  return {servers, stages: toStages(servers, split.counts), rate};
 }
 
 /** Stages with consecutive ranges of the given sizes. */
--- a/packages/core/src/core/placement/placement_types.ts
+++ b/packages/core/src/core/placement/placement_types.ts
@@ -32,12 +32,19 @@
    * most missing servers are restarting and come back within seconds.
    */
   readonly reassignHolders: boolean;
+  /**
+   * Chains of each model that may be dissolved and formed anew if that is
+   * clearly faster. A caller sets it in quiet times, within the rate at which
+   * weights may be loaded.
+   */
+  readonly rebuildChains: number;
 }
 
 export const DEFAULT_PLANNING: PlanningOptions = {
   maxStages: 12,
   slowdownFactor: 1.5,
   reassignHolders: false,
+  rebuildChains: 0,
 };
 
 /** A registration that has an engine. */
--- a/packages/core/src/core/placement/plan_chains.ts
+++ b/packages/core/src/core/placement/plan_chains.ts
@@ -21,6 +21,7 @@
   type PlacementModel,
   type PlanningOptions,
 } from './placement_types.js';
+import {rebuildChains} from './rebuild_chains.js';
 import {holding, repairChains} from './repair_chains.js';
 
 /**
@@ -93,7 +94,26 @@
   for (const group of formGroups(empty, model, links, options.maxStages)) {
     add(group.stages);
   }
-  return chains.sort((a, b) => compareIds(a.chain, b.chain));
+  const result = rebuildSome(chains, held, model, links, options, ids);
+  return result.sort((a, b) => compareIds(a.chain, b.chain));
+}
+
+function rebuildSome(
+  chains: Chain[],
+  servers: readonly EngineServer[],
+  model: PlacementModel,
+  links: LinkTime,
+  options: PlanningOptions,
+  ids: Set<ChainId>,
+): Chain[] {
+  if (options.rebuildChains === 0) return chains;
+  const used = new Set(chains.flatMap(chain => chain.stages.map(serverOf)));
+  const idle = servers.filter(server => !used.has(server.server));
+  const rebuild = rebuildChains(chains, idle, servers, model, links, options);
+  if (!rebuild) return chains;
+  const kept = chains.filter(chain => !rebuild.dissolved.has(chain));
+  const formed = rebuild.groups.map(g => createChain(model, g.stages, ids));
+  return [...kept, ...formed];
 }
 
 /**
--- a/packages/core/src/core/placement/repair_chains.ts
+++ b/packages/core/src/core/placement/repair_chains.ts
@@ -136,11 +136,7 @@
     if (holder) return {server: holder};
     const donated = this.findDonor(range, donors, taken);
     if (donated) return donated;
-    const {model} = this.input;
-    const count = range.endLayer - range.firstLayer;
-    const empty = spares.filter(
-      spare => !holdsRange(spare) && maxLayers(spare, model) >= count,
-    );
+    const empty = this.emptyFor(spares, range);
     const loader = this.pickNearest(empty, stages, index);
     return loader && {server: loader};
   }
@@ -178,18 +174,25 @@
     );
   }
 
+  /**
+   * Replaces the slowest stage if that makes the chain faster by the configured
+   * factor. Without this a chain that was repaired with a slow server stays
+   * slow, and the throughput decays as servers come and go.
+   */
   private replaceSlowStage(chain: Chain): Chain {
     const timesMs = chain.stages.map(stage => this.stageMs(stage));
-    const index = timesMs.indexOf(Math.max(...timesMs));
+    const slowestMs = Math.max(...timesMs);
+    const index = timesMs.indexOf(slowestMs);
+    const othersMs = Math.max(0, ...timesMs.filter((_, i) => i !== index));
+    const {slowdownFactor} = this.input.options;
+    if (othersMs * slowdownFactor > slowestMs) return chain;
     const stage = chain.stages[index];
-    const holders = [...this.spares.values()].filter(s => holds(s, stage));
-    const spare = this.pickNearest(holders, chain.stages, index);
+    const count = stage.endLayer - stage.firstLayer;
+    const fast = [...this.spares.values()].filter(
+      spare => count * spare.engine.layerMs * slowdownFactor <= slowestMs,
+    );
+    const spare = this.pickSpare(fast, chain.stages, index);
     if (!spare) return chain;
-    const spareMs =
-      (timesMs[index] / this.layerMs(stage)) * spare.engine.layerMs;
-    if (spareMs * this.input.options.slowdownFactor > timesMs[index]) {
-      return chain;
-    }
     this.spares.delete(spare.server);
     const slow = this.live.get(stage.server)!;
     this.spares.set(slow.server, holding(slow, stage));
@@ -198,6 +201,31 @@
     return {...chain, stages};
   }
 
+  /** A holder of the range, otherwise an empty server with enough memory. */
+  private pickSpare(
+    spares: readonly EngineServer[],
+    stages: readonly ChainStage[],
+    index: number,
+  ): EngineServer | undefined {
+    const holders = spares.filter(spare => holds(spare, stages[index]));
+    const holder = this.pickNearest(holders, stages, index);
+    return (
+      holder ??
+      this.pickNearest(this.emptyFor(spares, stages[index]), stages, index)
+    );
+  }
+
+  private emptyFor(
+    spares: readonly EngineServer[],
+    {firstLayer, endLayer}: LayerRange,
+  ): EngineServer[] {
+    const {model} = this.input;
+    return spares.filter(
+      spare =>
+        !holdsRange(spare) && maxLayers(spare, model) >= endLayer - firstLayer,
+    );
+  }
+
   private layerMs(stage: ChainStage): number {
     return this.live.get(stage.server)?.engine.layerMs ?? 0;
   }
--- a/packages/core/test/placement_test.ts
+++ b/packages/core/test/placement_test.ts
@@ -199,6 +199,30 @@
       expect(plan(holders, undefined, true).chains.length).toEqual(1);
     });
 
+    it('rebuilds a bounded number of chains, and only for a clear gain', () => {
+      // Equal ranges on unequal servers: the slower one holds up both chains.
+      const servers = [1, 2].flatMap(i => [
+        createEngine(`s${i}`, {endLayer: 6, layerMs: i * 2, memoryBytes: 12}),
+        createEngine(`s${i + 2}`, {
+          firstLayer: 6,
+          endLayer: 12,
+          layerMs: 3 - i,
+          memoryBytes: 12,
+        }),
+      ]);
+      const before = plan(servers);
+      const rebuild = (rebuildChains: number) =>
+        planChains(servers, [MODEL], flatLinks, before, {rebuildChains});
+      const after = rebuild(1);
+      expectValid(after, servers);
+      const rate = (p: Plan) => planThroughput(p, servers, flatLinks);
+      expect(rate(after) > rate(before) * 1.05).toEqual(true);
+      expect(after.chains.filter(c => isIn(c, before.chains)).length).toEqual(
+        1,
+      );
+      expect(rebuild(0) === before).toEqual(true);
+    });
+
     it('replaces a slow stage by a spare that holds its range', () => {
       const before = plan([
         createHolder('s1', 0, 6),
