Decide a lost race from the conflict's answer and test status

Cause: after a conflict the record was read again although the answer carries it, and a conflict in the last round counted as not reachable. An age that was never confirmed was rendered as Infinity, which is not in the text format. After: the conflict is decided from its answer; such an age is -1. Conclusion: status shows processes during an outage of the service.

--- a/packages/azurecrank/test/cli_test.ts
+++ b/packages/azurecrank/test/cli_test.ts
@@ -3,7 +3,17 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
-import {REFUSALS, RETRY_REASONS} from '@azurecrank/core';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  DocumentExchange,
+  HttpKeyValueService,
+  Metrics,
+  PLAN_KEY,
+  REFUSALS,
+  RETRY_REASONS,
+  SERVERS_PREFIX,
+} from '@azurecrank/core';
 import {KeyValueStandin} from '@azurecrank/standins';
 import {expect} from 'earl';
 
@@ -114,6 +124,54 @@
     });
   });
 
+  describe('status', () => {
+    // Guards against a status that shows nothing during an outage.
+    it('shows processes while the key-value service is down', async () => {
+      const metrics = new Metrics();
+      const keyValue = new HttpKeyValueService(standin.url);
+      using exchange = new DocumentExchange({
+        node: 'entry-1',
+        availabilityZone: 'a',
+        keyValue,
+        links: () => [],
+        metrics,
+      });
+      metrics.increment('azurecrank_refusals_total', {reason: 'queue_full'}, 3);
+      metrics.increment('azurecrank_bytes_total', {}, 5);
+      const page = createServer((_, res) => void res.end(metrics.render()));
+      await new Promise<void>(done => page.listen(0, '127.0.0.1', done));
+      const {port} = page.address() as AddressInfo;
+      const down = ['--key-value-url', 'http://127.0.0.1:1'];
+      const url = `http://127.0.0.1:${port}`;
+      const status = await run('status', ...down, '--process', url);
+      page.close();
+      keyValue[Symbol.dispose]();
+      expect(exchange.versions().configVersion).toEqual(0 as never);
+      expect(status.exitCode).toEqual(5);
+      expect(status.stderr).toInclude('{reason="queue_full"} 3');
+      expect(status.stderr).toInclude('document_version{what="config"} 0');
+      expect(status.stderr).toInclude('age_ms{what="plan"} -1');
+      expect(status.stderr).not.toInclude('bytes_total');
+    });
+
+    it('shows chains and registered servers', async () => {
+      const keyValue = new HttpKeyValueService(standin.url);
+      const stage = {server: 's1', firstLayer: 0, endLayer: 4};
+      const chain = {chain: 'c1', model: 'm', modelVersion: '1'};
+      const chains = [{...chain, stages: [stage]}];
+      const plan = {version: 3, fence: 2, chains, services: {}};
+      await keyValue.compareAndSwap(PLAN_KEY, JSON.stringify(plan), 0);
+      const server = {server: 's1', epoch: 4, state: 'live', service: 'orders'};
+      const key = `${SERVERS_PREFIX}s1`;
+      await keyValue.compareAndSwap(key, JSON.stringify(server), 0);
+      keyValue[Symbol.dispose]();
+      const {stdout} = await run('status', ...serviceArgs);
+      expect(stdout).toInclude('plan 3, fence 2');
+      expect(stdout).toInclude('chain c1 m@1: s1[0..4)');
+      expect(stdout).toInclude('s1 live, epoch 4');
+    });
+  });
+
   describe('explain', () => {
     it('lists every refusal and retry reason', async () => {
       const {stdout} = await run('explain', '--json');
--- a/packages/core/src/core/configuration/apply_config.ts
+++ b/packages/core/src/core/configuration/apply_config.ts
@@ -141,9 +141,16 @@
   if (outcome.kind === 'written') {
     return {kind: 'accepted', version: record.version};
   }
-  return outcome.kind === 'conflict'
-    ? {kind: 'again', mayHaveWritten: false, cause: 'another write was first'}
-    : {kind: 'again', mayHaveWritten: true, cause: outcome.cause};
+  if (outcome.kind === 'unknown') {
+    return {kind: 'again', mayHaveWritten: true, cause: outcome.cause};
+  }
+  const winner = outcome.current && decodeConfigRecord(outcome.current.value);
+  const again = {
+    kind: 'again',
+    mayHaveWritten: false,
+    cause: 'the record was replaced by one of the same version',
+  } as const;
+  return decideByRecord(winner, edit, mayHaveWritten) ?? again;
 }
 
 /** Returns undefined if the edit can be written on top of `current`. */
--- a/packages/core/src/core/configuration/document_metrics.ts
+++ b/packages/core/src/core/configuration/document_metrics.ts
@@ -26,8 +26,8 @@
     );
     metrics.gauge(
       'azurecrank_document_confirmed_age_ms',
-      'Time since the key-value service confirmed the held version',
-      () => Math.round(follower.confirmedAgeMs(what, nowMs())),
+      'Time since the key-value service confirmed the held version, or -1',
+      () => finiteOr(follower.confirmedAgeMs(what, nowMs()), -1),
       {what},
     );
   }
@@ -48,3 +48,8 @@
     'Reads of configuration and plan from the key-value service',
   );
 }
+
+/** The text format has no common spelling of infinity. */
+function finiteOr(ageMs: number, otherwise: number): number {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : otherwise;
+}
