Announce a new version to a few peers at once

Cause: a new version waited for the next ping, up to 2 s, at each hop. Ruled out: telling every peer, since the elected processes would then send the document to all of them.

--- a/packages/azurecrank/test/document_exchange_test.ts
+++ b/packages/azurecrank/test/document_exchange_test.ts
@@ -1,4 +1,5 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {deflateSync} from 'node:zlib';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   DisposableStore,
@@ -159,13 +160,13 @@
       const send = (message: Message) => sent.push(message) > 0;
       return {sent, send, hello: undefined};
     };
-    const create = () =>
+    const create = (links: ReturnType<typeof link>[] = []) =>
       store.add(
         new DocumentExchange({
           node: 'side-1',
           availabilityZone: 'a',
           keyValue: service,
-          links: () => [],
+          links: () => links,
         }),
       );
     const pong = (planVersion: number): Message => ({
@@ -184,6 +185,22 @@
       expect(second.sent).toEqual([]);
     });
 
+    // Guards against a version that waits for the next ping at each hop, and
+    // against one process that passes a document on to everybody.
+    it('announces a new version to a few peers at once', () => {
+      const links = Array.from({length: 20}, link);
+      const json = JSON.stringify({version: 9, fence: 1, chains: []});
+      const message: DocumentMessage = {
+        type: 'document',
+        what: 'plan',
+        version: 9,
+        data: deflateSync(json),
+      };
+      create(links).handle(message, link());
+      const sent = links.flatMap(one => one.sent);
+      expect(sent.map(one => one.type)).toEqual(Array(4).fill('ping'));
+    });
+
     it('ignores a document whose data cannot be inflated', () => {
       const exchange = create();
       const data = Buffer.from('not deflated');
--- a/packages/core/src/core/configuration/document_exchange.ts
+++ b/packages/core/src/core/configuration/document_exchange.ts
@@ -46,6 +46,16 @@
 /** After this time a document is asked for again, from another peer. */
 const FETCH_TIMEOUT_MS = 500;
 
+/**
+ * Peers that are told at once about a new version. Few, so that each process
+ * passes a document on a few times, instead of the elected ones to everybody;
+ * the others see the version in the next ping.
+ */
+const ANNOUNCE_LINKS = 4;
+
+/** Sequence number of announcements; health pings start at 1. */
+const ANNOUNCE_SEQ = 0;
+
 interface PendingFetch {
   readonly version: number;
   readonly atMs: number;
@@ -216,10 +226,20 @@
     if (outcome !== 'taken') return outcome === 'same';
     if (what === 'plan') this.currentPlan = readPlan(this.follower.held(what));
     else this.readConfig(json);
+    this.announce();
     for (const listener of [...this.listeners]) listener(what);
     return true;
   }
 
+  private announce(): void {
+    const links = [...this.options.links()];
+    for (let count = 0; count < ANNOUNCE_LINKS && links.length > 0; count++) {
+      const index = Math.floor(Math.random() * links.length);
+      const [link] = links.splice(index, 1);
+      link.send({type: 'ping', seq: ANNOUNCE_SEQ, ...this.versions()});
+    }
+  }
+
   /**
    * A text that this release cannot read leaves the last readable one in
    * force; the version still rises, so that peers are not asked again.
