Refuse claimed calls at once while the key-value service is silent

Cause: each page found out by itself that the service did not answer, and each claim held a call slot for its whole timeout, which delays calls that need no claim.

The pages of a store now share what is known about the service. One claim after each back-off tries again.

--- a/packages/core/src/core/claims/claim_page_writer.ts
+++ b/packages/core/src/core/claims/claim_page_writer.ts
@@ -53,6 +53,27 @@
   readonly random: () => number;
 }
 
+/**
+ * Shared by all pages, so that in an outage calls are refused at once and do
+ * not each hold a slot until their own claim has failed.
+ */
+export class KeyValueAvailability {
+  private unavailableUntilMs = 0;
+
+  get isAvailable(): boolean {
+    return performance.now() >= this.unavailableUntilMs;
+  }
+
+  /** Refuses claims for this time; the next one after it tries again. */
+  markUnavailable(durationMs: number): void {
+    this.unavailableUntilMs = performance.now() + durationMs;
+  }
+
+  markAvailable(): void {
+    this.unavailableUntilMs = 0;
+  }
+}
+
 export type WriterVerdict = ClaimVerdict | {readonly kind: 'unavailable'};
 
 interface WaitingClaim {
@@ -89,7 +110,6 @@
   private stopped = false;
   private flushing = false;
   private wake: () => void = () => {};
-  private unavailableUntilMs = 0;
   private failures = 0;
 
   constructor(
@@ -97,6 +117,7 @@
     private readonly key: string,
     private readonly metrics: Metrics,
     private readonly options: PageWriterOptions,
+    private readonly availability: KeyValueAvailability,
   ) {}
 
   /** Whether changes wait or are being written. */
@@ -116,14 +137,17 @@
     claim: NewClaim,
     timeoutMs: number,
   ): Promise<WriterVerdict> {
-    if (Date.now() < this.unavailableUntilMs || this.stopped) {
+    if (!this.availability.isAvailable || this.stopped) {
       return Promise.resolve({kind: 'unavailable'});
     }
     return new Promise(resolve => {
-      const timer = setTimeout(
-        () => waiting.settle({kind: 'unavailable'}),
-        Math.min(timeoutMs, this.options.claimTimeoutMs),
-      );
+      const {claimTimeoutMs} = this.options;
+      const expire = () => {
+        // A short deadline of the call itself says nothing about the service.
+        if (timeoutMs >= claimTimeoutMs) this.markUnavailable();
+        waiting.settle({kind: 'unavailable'});
+      };
+      const timer = setTimeout(expire, Math.min(timeoutMs, claimTimeoutMs));
       const waiting: WaitingClaim = {
         type: 'claim',
         keyHash,
@@ -175,7 +199,6 @@
       const round = await this.writeBatch(batch);
       if (round === 'finished') {
         this.failures = 0;
-        this.unavailableUntilMs = 0;
         continue;
       }
       this.failures++;
@@ -215,6 +238,7 @@
     const outcome = await this.write(page, loaded.revision);
     if (outcome.kind === 'written') {
       this.loaded = {page, revision: outcome.revision};
+      this.availability.markAvailable();
       return settle();
     }
     // After a lost answer the next round reads the page and finds its own
@@ -308,7 +332,7 @@
       } else {
         waiting.settle({kind: 'unavailable'});
         abandoned.push(waiting);
-        this.unavailableUntilMs = Date.now() + this.options.maxBackoffMs;
+        this.markUnavailable();
       }
     }
     this.waiting = [...kept, ...this.waiting];
@@ -327,6 +351,10 @@
     }
   }
 
+  private markUnavailable(): void {
+    this.availability.markUnavailable(this.options.maxBackoffMs);
+  }
+
   private countRetry(reason: RetryReason): void {
     this.metrics.increment(RETRIES_COUNTER, {reason});
   }
--- a/packages/core/src/core/claims/claim_store.ts
+++ b/packages/core/src/core/claims/claim_store.ts
@@ -25,6 +25,7 @@
 import {
   CLAIM_WRITES_COUNTER,
   ClaimPageWriter,
+  KeyValueAvailability,
   RETRIES_COUNTER,
   type PageWriterOptions,
 } from './claim_page_writer.js';
@@ -90,6 +91,7 @@
   private readonly options: ClaimStoreOptions;
   private readonly writers = new Map<number, ClaimPageWriter>();
   private readonly unrecorded = new Set<Promise<void>>();
+  private readonly availability = new KeyValueAvailability();
   private pages: Promise<number | undefined> | undefined;
 
   constructor(
@@ -187,7 +189,8 @@
     if (!writer) {
       const key = claimPageKey(this.service, page);
       const {kv, metrics, options} = this;
-      writer = new ClaimPageWriter(kv, key, metrics, options);
+      const {availability} = this;
+      writer = new ClaimPageWriter(kv, key, metrics, options, availability);
       this.writers.set(page, writer);
     }
     return writer;
--- a/packages/side/test/call_handler_test.ts
+++ b/packages/side/test/call_handler_test.ts
@@ -200,6 +200,22 @@
       expect(await run(handler, harness.call('k'))).toEqual('200');
     });
 
+    it('refuses later calls at once while the service does not answer', async () => {
+      const {handler} = harness.addSide({
+        claimTimeoutMs: 100,
+        maxBackoffMs: 2000,
+      });
+      await run(handler, harness.call('before'));
+      harness.kv.faults.frozen = true;
+      await run(handler, harness.call('k'));
+      const startMs = performance.now();
+      for (let index = 0; index < 20; index++) {
+        const answer = await run(handler, harness.call(`k${index}`));
+        expect(answer).toEqual('claim_store_unavailable not_run');
+      }
+      expect(performance.now() - startMs).toBeLessThan(100);
+    });
+
     it('answers the caller and records later when it fails after the claim', async () => {
       const {handler, service, store} = harness.addSide();
       service.onCall = call => {
