--- a/packages/core/src/core/claims/claim_page_writer.ts
+++ b/packages/core/src/core/claims/claim_page_writer.ts
@@ -120,11 +120,6 @@
     private readonly availability: KeyValueAvailability,
   ) {}
 
-  /** Whether changes wait or are being written. */
-  get isIdle(): boolean {
-    return !this.running && this.waiting.length === 0;
-  }
-
   /**
    * Settles exactly once. Only the verdict `claimed` permits the call, so a
    * claim that settles as `unavailable` is never called even if its write
