--- a/packages/side/src/core/process/service_server.ts
+++ b/packages/side/src/core/process/service_server.ts
@@ -37,6 +37,7 @@
         retentionMs: settings.claimRetentionMs,
         bodyBytes: settings.claimBodyBytes,
         batchWindowMs: settings.claimBatchWindowMs,
+        recordDelayMs: settings.claimRecordDelayMs,
       }),
     );
     this.handler = new CallHandler(backend, claims, options.pauses, metrics, {
