--- a/packages/core/src/core/admission/slot_rules.ts
+++ b/packages/core/src/core/admission/slot_rules.ts
@@ -44,7 +44,8 @@
 /**
  * 5 of 32 slots. In the bench `fairness` with seeds 1 to 5 the target for small
  * workspaces was missed for all seeds with 2 slots, for two with 3, for one
- * with 4, and met for all with 5.
+ * with 4, and met for all with 5. With seeds 7 to 15 and 5 slots it was missed
+ * for two (see docs/decisions/1-queueing.md).
  */
 const DEFAULT_SMALL_RESERVE_PART = 0.16;
 
