--- a/packages/spec/src/cases.ts
+++ b/packages/spec/src/cases.ts
@@ -6,7 +6,7 @@
 import {LEASE_CASES} from './specifications/lease.js';
 import {NOT_RUN_CASES} from './specifications/not_run.js';
 import {ORDER_CASES} from './specifications/orders.js';
-import {REQUEST_CASES} from './specifications/request.js';
+import {REQUEST_CASES} from './specifications/request_cases.js';
 
 export const CASES: readonly SpecificationCase[] = [
   ...REQUEST_CASES,
