Deliver writes to the key-value service several times

Cause: a write that arrives twice or late makes its own handler or operator see a conflict; the first version delivered each write once and hid this. Conclusion: after a conflict a handler looks for its own nonce and an operator for its own apply; both have a control.

--- a/packages/spec/src/specifications/claim.ts
+++ b/packages/spec/src/specifications/claim.ts
@@ -45,6 +45,10 @@
   readonly refusesWhenStoreIsDown: boolean;
   readonly recordsNotRunOnlyBeforeCall: boolean;
   readonly stopsAfterNotRun: boolean;
+  /** A read that finds the handler's own nonce continues with that claim. */
+  readonly recognisesOwnNonce: boolean;
+  /** A write may arrive several times at the key-value service. */
+  readonly duplicatesWrites: boolean;
 }
 
 const DEFAULTS: ClaimOptions = {
@@ -59,6 +63,8 @@
   refusesWhenStoreIsDown: true,
   recordsNotRunOnlyBeforeCall: true,
   stopsAfterNotRun: true,
+  recognisesOwnNonce: true,
+  duplicatesWrites: false,
 };
 
 const isClaimable = (claim: string) => claim === 'none' || claim === 'not_run';
@@ -68,7 +74,9 @@
   const {page} = state;
   const handler = state.handlers[name];
   handler.expected = page.revision;
-  if (!options.claimsBeforeCall) handler.at = 'claimed';
+  const isMine = page.holder === name && page.claim === 'running';
+  if (options.recognisesOwnNonce && isMine) handler.at = 'claimed';
+  else if (!options.claimsBeforeCall) handler.at = 'claimed';
   else if (isClaimable(page.claim)) {
     write(state, name, options.recordsDoneAfterCall ? 'running' : 'done');
   } else if (page.claim === 'done') end(handler, 'replayed');
@@ -90,7 +98,9 @@
 /** The key-value service carries out a compare-and-swap. */
 function swap(state: ClaimState, options: ClaimOptions, message: string): void {
   const [, name, expected, claim] = message.split(' ');
-  state.network = state.network.filter(other => other !== message);
+  if (!options.duplicatesWrites) {
+    state.network = state.network.filter(other => other !== message);
+  }
   const matches = state.page.revision === +expected;
   if (matches || !options.swapsOnRevision) {
     state.page = {revision: state.page.revision + 1, claim, holder: name};
@@ -239,6 +249,8 @@
       [AT_MOST_ONCE]: state => effects(state) <= 1,
       [NOT_RUN]: state =>
         all(state).every(h => h.answer !== 'not_run' || h.effects === 0),
+      [OWN_CLAIM]: ({page, handlers}) =>
+        page.claim !== 'running' || handlers[page.holder].answer !== 'unknown',
       [REPLAY]: state =>
         effects(state) === 1 || all(state).every(h => h.answer !== 'replayed'),
     },
@@ -247,9 +259,15 @@
 
 const AT_MOST_ONCE = 'a key has at most one effect';
 const NOT_RUN = 'a call answered not_run has no effect';
+const OWN_CLAIM = 'no handler takes its own claim for that of another';
 const REPLAY = 'a stored answer is replayed only after the effect';
 
 const CONTROLS: ReadonlyArray<Control<ClaimOptions>> = [
+  {
+    removed: 'a conflict is resolved by reading back the nonce',
+    options: {recognisesOwnNonce: false},
+    violates: OWN_CLAIM,
+  },
   {
     removed: 'done is recorded only after the call',
     options: {recordsDoneAfterCall: false},
@@ -292,10 +310,16 @@
   },
 ];
 
+const TWO_CALLS: Partial<ClaimOptions> = {
+  handlers: 2,
+  deadlines: 2,
+  duplicatesWrites: true,
+};
+
 export const CLAIM_CASES: readonly SpecificationCase[] = [
   defineCase<ClaimState, ClaimOptions>({
     name: 'claim: two calls, crash, both deadlines',
-    build: options => buildClaim({handlers: 2, deadlines: 2, ...options}),
+    build: options => buildClaim({...TWO_CALLS, ...options}),
     controls: CONTROLS,
   }),
   defineCase<ClaimState, ClaimOptions>({
--- a/packages/spec/src/specifications/configuration.ts
+++ b/packages/spec/src/specifications/configuration.ts
@@ -5,36 +5,7 @@
 import type {Specification, Successors} from '../checker.js';
 import {after, send} from '../state_tools.js';
 import {defineCase, type SpecificationCase} from '../specification_case.js';
-
-interface Operator {
-  at: string;
-  /** Version the edit started from. */
-  base: number;
-  applies: number;
-  answer: string;
-}
-
-interface ProcessState {
-  version: number;
-  /** Highest version this instance has had. */
-  highest: number;
-}
-
-interface ConfigurationState {
-  /** Author of each accepted version; the first version is index 0. */
-  history: string[];
-  /** Version of the stored document; differs only without compare-and-swap. */
-  stored: number;
-  recent: string[];
-  serviceUp: boolean;
-  operators: Record<string, Operator>;
-  processes: Record<string, ProcessState>;
-  network: string[];
-  outages: number;
-  restarts: number;
-  /** Highest version that any process on the host has had. */
-  hostHighest: Record<string, number>;
-}
+import type {ConfigurationState, Operator} from './configuration_state.js';
 
 export interface ConfigurationOptions {
   readonly recentLength: number;
@@ -47,6 +18,8 @@
   readonly operators: readonly string[];
   readonly processes: readonly string[];
   readonly losesAnswers: boolean;
+  /** A write may arrive several times at the key-value service. */
+  readonly duplicatesWrites: boolean;
   /** A starting process asks peers alone only while the service is down. */
   readonly asksServiceAtStart: boolean;
   readonly readsKey: boolean;
@@ -65,6 +38,7 @@
   operators: ['a', 'b'],
   processes: [],
   losesAnswers: true,
+  duplicatesWrites: true,
   asksServiceAtStart: true,
   readsKey: true,
   readsAgainAfterConflict: true,
@@ -101,7 +75,9 @@
   message: string,
 ): void {
   const [, name, expected, apply] = message.split(' ');
-  state.network = state.network.filter(other => other !== message);
+  if (!options.duplicatesWrites) {
+    state.network = state.network.filter(other => other !== message);
+  }
   const isCurrent = +expected === state.stored;
   if (isCurrent || !options.swapsOnRevision) {
     state.stored = +expected + 1;
@@ -316,6 +292,7 @@
 const PROPAGATION: Partial<ConfigurationOptions> = {
   processes: ['p', 'q'],
   losesAnswers: false,
+  duplicatesWrites: false,
 };
 
 const NO_OUTAGE: Partial<ConfigurationOptions> = {
--- a/packages/spec/src/specifications/lease.ts
+++ b/packages/spec/src/specifications/lease.ts
@@ -71,7 +71,6 @@
 
 function swap(state: LeaseState, options: LeaseOptions, message: string): void {
   const [, , term, revision, fence] = message.split(' ');
-  state.network = state.network.filter(other => other !== message);
   if (options.swapsOnRevision && +revision !== state.plan.length) return;
   state.plan.push(+fence);
   if (+term < state.lease.term) state.afterGrant++;
