--- a/packages/spec/src/specifications/configuration.ts
+++ b/packages/spec/src/specifications/configuration.ts
@@ -5,36 +5,7 @@
 import type {Specification, Successors} from '../checker.js';
 import {after, send} from '../state_tools.js';
 import {defineCase, type SpecificationCase} from '../specification_case.js';
-
-interface Operator {
-  at: string;
-  /** Version the edit started from. */
-  base: number;
-  applies: number;
-  answer: string;
-}
-
-interface ProcessState {
-  version: number;
-  /** Highest version this instance has had. */
-  highest: number;
-}
-
-interface ConfigurationState {
-  /** Author of each accepted version; the first version is index 0. */
-  history: string[];
-  /** Version of the stored document; differs only without compare-and-swap. */
-  stored: number;
-  recent: string[];
-  serviceUp: boolean;
-  operators: Record<string, Operator>;
-  processes: Record<string, ProcessState>;
-  network: string[];
-  outages: number;
-  restarts: number;
-  /** Highest version that any process on the host has had. */
-  hostHighest: Record<string, number>;
-}
+import type {ConfigurationState, Operator} from './configuration_state.js';
 
 export interface ConfigurationOptions {
   readonly recentLength: number;
@@ -47,6 +18,11 @@
   readonly operators: readonly string[];
   readonly processes: readonly string[];
   readonly losesAnswers: boolean;
+  /** A write may arrive several times at the key-value service. */
+  readonly duplicatesWrites: boolean;
+  /** A starting process asks peers alone only while the service is down. */
+  readonly asksServiceAtStart: boolean;
+  readonly readsKey: boolean;
   readonly readsAgainAfterConflict: boolean;
   readonly checksHosts: boolean;
 }
@@ -62,6 +38,9 @@
   operators: ['a', 'b'],
   processes: [],
   losesAnswers: true,
+  duplicatesWrites: true,
+  asksServiceAtStart: true,
+  readsKey: true,
   readsAgainAfterConflict: true,
   checksHosts: false,
 };
@@ -96,7 +75,9 @@
   message: string,
 ): void {
   const [, name, expected, apply] = message.split(' ');
-  state.network = state.network.filter(other => other !== message);
+  if (!options.duplicatesWrites) {
+    state.network = state.network.filter(other => other !== message);
+  }
   const isCurrent = +expected === state.stored;
   if (isCurrent || !options.swapsOnRevision) {
     state.stored = +expected + 1;
@@ -172,7 +153,7 @@
 ): Array<[string, (draft: ConfigurationState) => void]> {
   const steps: Array<[string, (draft: ConfigurationState) => void]> = [];
   for (const [name, {version}] of Object.entries(state.processes)) {
-    if (state.serviceUp && version !== state.stored) {
+    if (options.readsKey && state.serviceUp && version !== state.stored) {
       steps.push([
         `${name} reads the key`,
         d => take(d, options, name, d.stored),
@@ -223,7 +204,10 @@
     const [type, name, version] = message.split(' ');
     if (type === 'answer')
       steps.push([message, d => onAnswer(d, options, message)]);
-    if (type === 'document') {
+    const mustAskService =
+      state.serviceUp && options.asksServiceAtStart && options.readsKey;
+    const isStarting = state.processes[name]?.version === 0;
+    if (type === 'document' && !(mustAskService && isStarting)) {
       steps.push([message, d => take(d, options, name, +version)]);
     }
     if (type === 'swap' && state.serviceUp) {
@@ -290,13 +274,14 @@
       [CONFLICT]: state => isAnswerTrue(state, 'conflict'),
     },
     progress: {
-      name: 'every process can always still reach the accepted version',
+      name: CATCHES_UP,
       goal: state =>
         Object.values(state.processes).every(p => p.version === state.stored),
     },
   };
 }
 
+const CATCHES_UP = 'every process can always still reach the accepted version';
 const NO_REVERT = 'no process goes back to a lower version';
 const NO_HOST_REVERT = 'no host goes back over a restart';
 const ONE_VERSION = 'each version has one text';
@@ -307,6 +292,13 @@
 const PROPAGATION: Partial<ConfigurationOptions> = {
   processes: ['p', 'q'],
   losesAnswers: false,
+  duplicatesWrites: false,
+};
+
+const NO_OUTAGE: Partial<ConfigurationOptions> = {
+  ...PROPAGATION,
+  outages: 0,
+  checksHosts: true,
 };
 
 export const CONFIGURATION_CASES: readonly SpecificationCase[] = [
@@ -355,9 +347,25 @@
         options: {takesOnlyHigher: false},
         violates: NO_REVERT,
       },
+      {
+        removed: 'some process reads the key',
+        options: {readsKey: false},
+        violates: CATCHES_UP,
+      },
+    ],
+  }),
+  defineCase<ConfigurationState, ConfigurationOptions>({
+    name: 'configuration: restarted host, no outage',
+    build: options => buildConfiguration({...NO_OUTAGE, ...options}),
+    controls: [
       {
         removed: 'assumption: no restart during an outage',
-        options: {checksHosts: true},
+        options: {outages: 1},
+        violates: NO_HOST_REVERT,
+      },
+      {
+        removed: 'a starting process asks the service',
+        options: {asksServiceAtStart: false},
         violates: NO_HOST_REVERT,
       },
     ],
