Move caches on a planned stop; close faults the model checker found

Cause: a leaving stage waited for its streams to end, and the specifications gave counterexamples for: a step delayed until after release (runs again), a replay that overtakes reroute (forwards to the dead stage for good), a rerun over trimmed logs (surviving stages answer duplicates), caches that outlive a reload of the engine, a lapsed lease holder before the new holder's first write, and a side that exits while a call is under way. Change: caches are exported to a server with the same layers; stages remember released requests; replay carries the chain; cacheSince tells stages which caches are void; engine caches get a new name after a reset; a new lease holder writes its fence first; a leaving side waits until entries have noted it; a recovery that the retry budget does not allow yet waits instead of ending the stream; hung engine steps are reported as engine_stalled. Ruled out: replay for planned stops (runs the layers again).

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -11,9 +11,11 @@
   refuse,
   type AttemptId,
   type Chain,
+  type ChainStage,
   type ChartEvent,
   type Gap,
   type Granted,
+  type Imported,
   type Logger,
   type Message,
   type Metrics,
@@ -105,6 +107,12 @@
 /** Pause before a preempted or interrupted stream asks for a slot again. */
 const REOPEN_DELAY_MS = 250;
 
+/**
+ * Mean pause of a recovery that the retry budget does not allow yet: the
+ * budget spreads the recoveries after a large loss and ends no stream.
+ */
+const RECOVERY_DELAY_MS = 200;
+
 /** A token that takes longer may have been lost on its way. */
 const STEP_RESEND_MS = 1000;
 
@@ -124,6 +132,8 @@
   private hasSentStep = false;
   private promptTokens: readonly number[] = [];
   private attempt: AttemptId = FIRST_ATTEMPT;
+  /** Attempt of the last grant: caches from before it are not used. */
+  private cacheSince: AttemptId = FIRST_ATTEMPT;
   private chain: Chain | undefined;
   private timer: NodeJS.Timeout | undefined;
   private retryTimer: NodeJS.Timeout | undefined;
@@ -183,6 +193,8 @@
       case 'replay_refused':
         if (message.attempt === this.attempt) this.rerunFromStart('stage_lost');
         return;
+      case 'imported':
+        return this.onImported(message);
       case 'preempt':
         if (message.attempt === this.attempt) this.onPreempted();
         return;
@@ -250,6 +262,7 @@
     if (!this.runner.send({type: 'granted'})) return;
     this.observe('azurecrank_queue_ms');
     this.promptTokens = message.promptTokens;
+    this.cacheSince = this.attempt;
     this.sendTokensFrom(0);
   }
 
@@ -274,7 +287,7 @@
   }
 
   private onToken(message: TokenMessage): void {
-    const awaited = this.promptTokens.length + this.generated.length - 1;
+    const awaited = this.awaitedPosition;
     const isAwaited =
       message.attempt === this.attempt &&
       message.position === awaited &&
@@ -284,6 +297,7 @@
     }
     if (this.generated.length === 0) this.observe('azurecrank_first_token_ms');
     this.generated.push(message.token);
+    this.retries.clear();
     this.sink.onToken(message.text);
     const isFull = this.generated.length >= this.spec.maxTokens;
     if (message.finished || isFull) {
@@ -304,6 +318,23 @@
     this.recover(message.stage, retryReasonOf(message));
   }
 
+  /** A leaving stage has moved the cache; nothing has to run again. */
+  private onImported(message: Imported): void {
+    const {chain} = this;
+    const left = chain?.stages[message.stage];
+    if (!chain || !left || message.attempt !== this.attempt) return;
+    if (this.runner.state !== 'generating') return;
+    const {server, address} = message;
+    const {request} = this.spec;
+    const {attempt} = this;
+    this.settle(chain.stages[0].address);
+    this.deps.transport.send(left.address, {type: 'release', request, attempt});
+    this.deps.metrics.increment('azurecrank_stages_moved_total');
+    const moved = {...left, server, address};
+    this.adoptChain(withStage(chain, message.stage, moved));
+    this.sendTokensFrom(this.awaitedPosition);
+  }
+
   private onPreempted(): void {
     if (!this.runner.send({type: 'preempted'})) return;
     this.countRetry('preempted');
@@ -319,25 +350,44 @@
     if (!this.runner.send({type: 'stage_lost'})) return;
     this.excluded.add(lost.server);
     if (!this.mayRetry(reason)) {
-      const options = {ran: this.ranState(), peer: lost.server};
-      return this.fail(refuse('retry_budget_exhausted', 'recover', options));
+      const delayMs = RECOVERY_DELAY_MS * (0.5 + Math.random());
+      this.retryTimer = setTimeout(() => this.recover(stage, reason), delayMs);
+      return;
     }
     this.countRetry(reason);
     this.settle(this.chain.stages[0].address);
-    const {policy, transport} = this.deps;
+    if (reason !== 'stage_lost' && reason !== 'stage_silent') {
+      const {attempt} = this;
+      const {request} = this.spec;
+      const release = {type: 'release', request, attempt} as const;
+      this.deps.transport.send(lost.address, release);
+    }
+    const {policy} = this.deps;
     const chain = policy.replaceStage(this.chain, stage, this.excluded);
     if (!chain) return this.rerunFromStart(reason);
+    this.adoptChain(chain);
+    this.runner.send({type: 'rerouted'});
+    this.requestReplay(stage, 0);
+    // The awaited step may not have reached the stages before the lost one.
+    if (stage > 0) this.sendTokensFrom(this.awaitedPosition);
+  }
+
+  /** Starts a new attempt in which the stages that remain keep their caches. */
+  private adoptChain(chain: Chain): void {
     this.chain = chain;
     this.attempt = nextAttempt(this.attempt);
     const {request} = this.spec;
     const {attempt} = this;
-    chain.stages.forEach(({address}, index) => {
-      if (index === stage) return;
-      const reroute = {type: 'reroute', request, attempt, chain} as const;
-      transport.send(address, {...reroute, stage: index});
+    chain.stages.forEach(({address}, stage) => {
+      const {cacheSince} = this;
+      const route = {request, attempt, cacheSince, chain, stage};
+      this.deps.transport.send(address, {type: 'reroute', ...route});
     });
-    this.runner.send({type: 'rerouted'});
-    this.requestReplay(stage, 0);
+  }
+
+  /** Last position whose token has not arrived yet. */
+  private get awaitedPosition(): number {
+    return this.promptTokens.length + this.generated.length - 1;
   }
 
   private requestReplay(stage: number, fromPosition: number): void {
@@ -350,6 +400,8 @@
       type: 'replay',
       request,
       attempt,
+      cacheSince: this.cacheSince,
+      chain: this.chain,
       stage: stage - 1,
       fromPosition,
     });
@@ -404,6 +456,7 @@
       tokens: all.slice(position),
       rank: this.spec.rank,
       entry: this.deps.transport.entry,
+      cacheSince: this.cacheSince,
       chain,
       stage: 0,
     });
@@ -492,6 +545,13 @@
   }
 }
 
+function withStage(chain: Chain, index: number, stage: ChainStage): Chain {
+  const stages = chain.stages.map((current, position) =>
+    position === index ? stage : current,
+  );
+  return {...chain, stages};
+}
+
 function retryReasonOf({reason}: StageFailed): RetryReason {
   return reason === 'leaving' ? 'server_leaving' : reason;
 }
--- a/packages/azurecrank/src/core/placement/lease_holder.ts
+++ b/packages/azurecrank/src/core/placement/lease_holder.ts
@@ -41,6 +41,12 @@
     this.runner.send({type: 'paused'});
   }
 
+  /** Gives the lease up after proof that it has passed to another process. */
+  stepDown(): void {
+    this.lease = undefined;
+    this.runner.send({type: 'lost'});
+  }
+
   /** Acquires or renews the lease; returns whether it is held. */
   async refresh(): Promise<boolean> {
     if (this.lease) return this.renew(this.lease);
--- a/packages/azurecrank/src/core/placement/placement_runner.ts
+++ b/packages/azurecrank/src/core/placement/placement_runner.ts
@@ -12,6 +12,7 @@
   type OperatorConfig,
   type PlacementModel,
   type Plan,
+  type PlanVersion,
   type ServerRegistration,
 } from '@azurecrank/core';
 import type {LeaseHolder} from './lease_holder.js';
@@ -77,15 +78,29 @@
     await this.updateHosts();
     const stored = await this.options.keyValue.get(PLAN_KEY);
     const previous = stored ? (JSON.parse(stored.value) as Plan) : EMPTY_PLAN;
-    const plan = planChains(
+    const {fence} = this.options.lease;
+    if (fence === undefined) return;
+    if (previous.fence > fence) return this.stepDown(previous.fence);
+    const planned = planChains(
       this.membership.placeable(registrations),
       toPlacementModels(config),
       linkTimeMs,
       previous,
     );
-    const {fence} = this.options.lease;
-    if (plan === previous || fence === undefined) return;
-    await this.write({...plan, fence}, stored?.revision ?? 0);
+    // A new holder writes even an unchanged plan: from then on the revision
+    // that an earlier holder has read no longer matches.
+    const isNewHolder = previous.fence !== fence;
+    if (planned === previous && !isNewHolder) return;
+    const version = (previous.version + 1) as PlanVersion;
+    await this.write({...planned, version, fence}, stored?.revision ?? 0);
+  }
+
+  /** Another process holds the lease, whatever this one believes. */
+  private stepDown(newerFence: number): void {
+    this.options.logger.warn('a newer holder has written the plan', {
+      fence: newerFence,
+    });
+    this.options.lease.stepDown();
   }
 
   /** The revision fences: a holder that was paused finds it has changed. */
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -10,6 +10,7 @@
   PauseMonitor,
   toId,
   type Hello,
+  type Leaving,
   Logger,
   Metrics,
   PeerNode,
@@ -41,6 +42,7 @@
 const DRAIN_CHECK_MS = 50;
 const PLACEMENT_PERIOD_MS = 1000;
 const RECONNECT_PERIOD_MS = 2000;
+const SERVICE_WAIT_MS = 2000;
 const PLAN_WAIT_MS = 5000;
 const PLAN_CHECK_MS = 20;
 
@@ -210,9 +212,23 @@
     this.store.add(placement).start();
     this.store.interval(() => this.connectHeads(), RECONNECT_PERIOD_MS);
     await this.documents.whenConfigured();
+    await this.waitForService();
     await this.waitForPlan();
   }
 
+  /**
+   * A peer may be behind, so the key-value service is asked first; in an
+   * outage the peers' newest version has to do.
+   */
+  private async waitForService(): Promise<void> {
+    const deadlineMs = performance.now() + SERVICE_WAIT_MS;
+    const {follower} = this.documents;
+    const ageMs = () => follower.confirmedAgeMs('config', performance.now());
+    while (ageMs() === Infinity && performance.now() < deadlineMs) {
+      await new Promise(resolve => setTimeout(resolve, PLAN_CHECK_MS));
+    }
+  }
+
   /**
    * Without a plan every request would be refused. A first installation has
    * none until servers register, so the wait is bounded.
@@ -238,6 +254,15 @@
     this.generations.onPeerDown(address);
   }
 
+  private noteLeaving({node}: Leaving): void {
+    const server = toId<ServerId>(node);
+    this.router.noteLeaving(server);
+    const address = this.router.addressOf(server);
+    if (!address) return;
+    const noted = {type: 'leaving_noted', node: this.settings.node} as const;
+    this.peers.send(address, noted);
+  }
+
   private noteHello({address, instance}: Hello): void {
     const server = this.router.serverAt(address);
     if (server) this.router.membership.noteHello(server, instance);
@@ -286,7 +311,7 @@
       case 'load':
         return this.router.takeReport(message);
       case 'leaving':
-        return this.router.noteLeaving(toId<ServerId>(message.node));
+        return this.noteLeaving(message);
       case 'call_result':
       case 'cancelled':
         this.callTransport.receive(message);
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -65,6 +65,14 @@
     return this.servers.get(address);
   }
 
+  addressOf(server: ServerId): PeerAddress | undefined {
+    this.refresh();
+    const found = [...this.servers].find(
+      ([, candidate]) => candidate === server,
+    );
+    return found?.[0];
+  }
+
   /** Servers of the plan that could not be reached last time. */
   downAddresses(): PeerAddress[] {
     this.refresh();
--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -83,6 +83,15 @@
   readonly node: string;
 }
 
+/**
+ * Answer to `leaving`, on the connection on which the sender sends work: what
+ * it sent before has arrived, and it sends no new work.
+ */
+export interface LeavingNoted {
+  readonly type: 'leaving_noted';
+  readonly node: string;
+}
+
 export interface LoadReport {
   readonly type: 'load';
   readonly server: ServerId;
@@ -135,13 +144,18 @@
   readonly retryAfterMs?: number;
 }
 
-interface OfPosition extends OfRequest {
-  readonly position: number;
-  readonly rank: Rank;
-  readonly entry: PeerAddress;
+interface OfChain extends OfRequest {
   readonly chain: Chain;
   /** Index of the receiving stage in the chain. */
   readonly stage: number;
+  /** Stages discard caches from attempts before this one. */
+  readonly cacheSince: AttemptId;
+}
+
+interface OfPosition extends OfChain {
+  readonly position: number;
+  readonly rank: Rank;
+  readonly entry: PeerAddress;
 }
 
 /** Token ids for the first stage. */
@@ -183,16 +197,16 @@
 }
 
 /** Surviving stages adopt the attempt and chain and keep their cache. */
-export interface Reroute extends OfRequest {
+export interface Reroute extends OfChain {
   readonly type: 'reroute';
-  readonly chain: Chain;
-  readonly stage: number;
 }
 
-/** Asks `stage` to resend its logged output to its successor. */
-export interface Replay extends OfRequest {
+/**
+ * Asks `stage` to resend its logged output to its successor. Carries the chain
+ * because it may arrive before `reroute`.
+ */
+export interface Replay extends OfChain {
   readonly type: 'replay';
-  readonly stage: number;
   readonly fromPosition: number;
 }
 
@@ -220,15 +234,29 @@
   readonly type: 'preempt';
 }
 
+/** The newest output of a stage, for inputs that are repeated. */
+export type StageOutput =
+  | {
+      readonly kind: 'activation';
+      readonly position: number;
+      readonly count: number;
+      readonly data: Uint8Array;
+    }
+  | {
+      readonly kind: 'token';
+      readonly token: number;
+      readonly text: string;
+      readonly finished: boolean;
+    };
+
 /** Moves a sequence's cache to a server that holds the same layers. */
-export interface ImportKv extends OfRequest {
+export interface ImportKv extends OfChain {
   readonly type: 'import_kv';
-  readonly stage: number;
-  readonly chain: Chain;
   readonly nextPosition: number;
   readonly data: Uint8Array;
   readonly entry: PeerAddress;
   readonly rank: Rank;
+  readonly lastOutput?: StageOutput;
 }
 
 /** Tells the entry which chain now carries the request. */
@@ -271,6 +299,7 @@
   | FetchDocument
   | DocumentMessage
   | Leaving
+  | LeavingNoted
   | LoadReport
   | Open
   | Granted
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -18,6 +18,7 @@
   type SideSettings,
   toId,
 } from '@azurecrank/core';
+import {Handover} from '../handover/handover.js';
 import {Head} from '../head/head.js';
 import {Reconciler} from '../reconcile/reconciler.js';
 import {Stage} from '../sequences/stage.js';
@@ -42,6 +43,9 @@
 /** Period at which waiting requests that are too late are refused. */
 const HEAD_TICK_MS = 50;
 
+/** Period at which a leaving server moves sequences. */
+const HANDOVER_MS = 20;
+
 /** Period at which the engine is compared with the plan. */
 const RECONCILE_MS = 2000;
 
@@ -50,6 +54,7 @@
   private readonly engine: HttpEngine;
   private readonly stage: Stage;
   private readonly head: Head;
+  private readonly handover: Handover;
   private reconciler: Reconciler | undefined;
   private isReconciling = false;
 
@@ -64,8 +69,15 @@
       logger,
       node: settings.server,
     };
-    this.stage = new Stage(common);
+    this.stage = this.store.add(new Stage(common));
     this.head = new Head(common);
+    this.handover = new Handover({
+      ...common,
+      server: toId<ServerId>(settings.server),
+      address: () => peers.address,
+      stage: this.stage,
+      plan: options.plan,
+    });
     this.store.interval(() => this.stage.releaseOrphans(), ORPHAN_SWEEP_MS);
     this.store.interval(() => this.reportLoad(), LOAD_REPORT_MS);
     this.store.interval(() => this.head.tick(), HEAD_TICK_MS);
@@ -110,9 +122,14 @@
     this.isReconciling = false;
   }
 
-  /** Takes no new request; those in flight go on. */
+  /** Takes no new request; those in flight move or go on. */
   leave(): void {
     this.head.leave();
+    this.store.interval(() => this.handover.moveSome(), HANDOVER_MS);
+  }
+
+  notePause(pausedMs: number): void {
+    this.stage.runner.notePause(pausedMs);
   }
 
   onPeerDown(address: PeerAddress): void {
@@ -132,7 +149,13 @@
         return this.stage.reroute(message);
       case 'replay':
         return this.stage.replay(message);
+      case 'import_kv':
+        void this.handover.take(message);
+        return;
+      case 'leaving':
+        return this.handover.noteLeaving(toId<ServerId>(message.node));
       case 'release':
+        this.handover.noteReleased(message.request);
         this.stage.release(message);
         return this.head.release(message);
       case 'cancel': {
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -10,6 +10,7 @@
   Metrics,
   PauseMonitor,
   PeerNode,
+  SERVERS_PREFIX,
   createInstanceId,
   loadChartDefinition,
   toId,
@@ -19,6 +20,7 @@
   type Message,
   type PeerAddress,
   type PeerLink,
+  type ServerRegistration,
   type ServiceId,
   type SideSettings,
 } from '@azurecrank/core';
@@ -31,6 +33,9 @@
 
 const DRAIN_CHECK_MS = 50;
 
+/** Entries that do not answer `leaving` for this long are taken for gone. */
+const NOTICE_TIMEOUT_MS = 3000;
+
 export class SideProcess implements Disposable {
   readonly metrics = new Metrics();
   private readonly store = new DisposableStore();
@@ -47,6 +52,8 @@
   );
   private model: ModelServer | undefined;
   private service: ServiceServer | undefined;
+  /** Entries that have not yet answered `leaving`. */
+  private readonly unnoticedEntries = new Set<string>();
 
   constructor(private readonly settings: SideSettings) {
     const {node, logLevel} = settings;
@@ -88,6 +95,7 @@
       this.draftRegistration('live', engine),
     );
     this.model?.followPlan(registration);
+    this.pauses.onPause(pausedMs => this.model?.notePause(pausedMs));
     for (const peer of this.settings.seedPeers) {
       this.peers.link(peer as PeerAddress);
     }
@@ -104,7 +112,8 @@
     this.logger.info('leaving');
     this.model?.leave();
     this.service?.leave();
-    this.peers.broadcast({type: 'leaving', node: this.settings.server});
+    this.announceLeaving();
+    void this.registerLeaving();
     await this.drain();
     this[Symbol.dispose]();
   }
@@ -132,7 +141,10 @@
 
   private async drain(): Promise<void> {
     const deadlineMs = performance.now() + this.settings.drainDeadlineMs;
-    while (!this.isIdle() && performance.now() < deadlineMs) {
+    const noticeDeadlineMs = performance.now() + NOTICE_TIMEOUT_MS;
+    const isNoticed = () =>
+      this.unnoticedEntries.size === 0 || performance.now() > noticeDeadlineMs;
+    while (!(this.isIdle() && isNoticed()) && performance.now() < deadlineMs) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
     const isDrained = this.isIdle();
@@ -141,6 +153,32 @@
     this.logger.info('stopped', {drained: isDrained});
   }
 
+  /** Exiting before the entries know could lose a call that is under way. */
+  private announceLeaving(): void {
+    for (const link of this.peers.links()) {
+      if (link.hello?.role === 'entry') {
+        this.unnoticedEntries.add(link.hello.node);
+      }
+    }
+    this.peers.broadcast({type: 'leaving', node: this.settings.server});
+  }
+
+  /** The planner stops using the server; during an outage it learns later. */
+  private async registerLeaving(): Promise<void> {
+    const key = SERVERS_PREFIX + this.settings.server;
+    try {
+      const entry = await this.keyValue.get(key);
+      if (!entry) return;
+      const current = JSON.parse(entry.value) as ServerRegistration;
+      if (current.instance !== this.instance) return;
+      const value = JSON.stringify({...current, state: 'leaving'});
+      await this.keyValue.compareAndSwap(key, value, entry.revision);
+    } catch (error) {
+      const fields = {step: 'route', cause: String(error)};
+      this.logger.warn('leaving could not be registered', fields);
+    }
+  }
+
   private isIdle(): boolean {
     return (this.model?.isIdle ?? true) && (this.service?.isIdle ?? true);
   }
@@ -199,6 +237,9 @@
 
   private receive(message: Message, link: PeerLink): void {
     if (this.documents.handle(message, link)) return;
+    if (message.type === 'leaving_noted') {
+      this.unnoticedEntries.delete(message.node);
+    }
     this.model?.receive(message, link);
     this.service?.receive(message, link);
   }
--- a/packages/side/src/core/sequences/sequence_chart.ts
+++ b/packages/side/src/core/sequences/sequence_chart.ts
@@ -10,11 +10,14 @@
   type Chain,
   type PeerAddress,
   type Rank,
+  type RequestId,
 } from '@azurecrank/core';
 
 /** Fields that every message for a sequence carries. */
 export interface SequenceRoute {
   readonly attempt: AttemptId;
+  /** First attempt whose cache is still valid. */
+  readonly cacheSince: AttemptId;
   readonly chain: Chain;
   readonly stage: number;
   readonly entry: PeerAddress;
@@ -32,11 +35,14 @@
   | InputEvent
   | {
       readonly type: 'reroute';
-      readonly route: Pick<SequenceRoute, 'attempt' | 'chain' | 'stage'>;
+      readonly route: Omit<SequenceRoute, 'entry' | 'rank'>;
     }
   | {readonly type: 'output'; readonly count: number}
   | {readonly type: 'failed'}
   | {readonly type: 'reset'}
+  /** The cache is being moved to another server. */
+  | {readonly type: 'move'}
+  | {readonly type: 'resume'}
   | {readonly type: 'release'; readonly attempt: AttemptId};
 
 /** What the stage does with the event that was taken last. */
@@ -94,6 +100,7 @@
   context => ({...context, decision});
 
 const actions: Record<string, Action> = {
+  ignore: decide({kind: 'none'}),
   drop_stale: decide({kind: 'drop_stale'}),
   wait: decide({kind: 'wait'}),
   resend: decide({kind: 'resend'}),
@@ -129,12 +136,21 @@
 
 /** State of one request at this stage. */
 export class Sequence {
+  /** Cache of the sequence in the engine; a new one after each reset. */
+  engineKey: string;
+  private resets = 0;
+
   private readonly runner: ChartRunner<SequenceContext, SequenceEvent>;
 
   /** Time of the last message, from `performance.now()`. */
   lastUsedMs = performance.now();
 
-  constructor(route: SequenceRoute, nextPosition = 0) {
+  constructor(
+    private readonly request: RequestId,
+    route: SequenceRoute,
+    nextPosition = 0,
+  ) {
+    this.engineKey = `${request}#${route.cacheSince}`;
     const decision = {kind: 'none'} as const;
     const context = {route, nextPosition, decision};
     this.runner = new ChartRunner(SEQUENCE_CHART, context);
@@ -156,6 +172,17 @@
     return this.state === 'released';
   }
 
+  /**
+   * Names a new cache in the engine. The old one may be at any position: a run
+   * that was not answered may have taken effect.
+   */
+  renewEngineKey(): string {
+    const old = this.engineKey;
+    const {cacheSince} = this.route;
+    this.engineKey = `${this.request}#${cacheSince}.${++this.resets}`;
+    return old;
+  }
+
   /** Applies `event`; `none` if the chart does not take it. */
   send(event: SequenceEvent): SequenceDecision {
     this.lastUsedMs = performance.now();
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -7,6 +7,7 @@
   type EngineInfo,
   type EngineOutput,
   type EngineStep,
+  type ImportKv,
   type Logger,
   type Message,
   type Metrics,
@@ -15,6 +16,7 @@
   type Replay,
   type RequestId,
   type Reroute,
+  type StageOutput,
   type StepMessage,
 } from '@azurecrank/core';
 import {ActivationLog, type LoggedOutput} from './activation_log.js';
@@ -23,6 +25,7 @@
   type SequenceDecision,
   type SequenceRoute,
 } from './sequence_chart.js';
+import {ReleasedRequests} from './released_requests.js';
 import {StageRunner} from './stage_runner.js';
 
 /** How the stage reaches other processes. */
@@ -37,6 +40,12 @@
   abstract send(address: PeerAddress, message: Message): void;
 }
 
+/** A sequence that may be moved to another server. */
+export interface Movable {
+  readonly request: RequestId;
+  readonly route: SequenceRoute;
+}
+
 export interface StageOptions {
   readonly engine: Engine;
   readonly transport: StageTransport;
@@ -51,20 +60,27 @@
 
 type TokenOutput = Extract<EngineOutput, {kind: 'token'}>;
 
-export class Stage {
+export class Stage implements Disposable {
   readonly runner: StageRunner;
   private readonly sequences = new Map<RequestId, Sequence>();
   private readonly log: ActivationLog;
   /** The furthest input that came while an earlier one was running. */
   private readonly pending = new Map<RequestId, Input>();
+  private readonly released = new ReleasedRequests();
   private readonly lastTokens = new Map<RequestId, TokenOutput>();
   private info: EngineInfo | undefined;
 
   constructor(private readonly options: StageOptions) {
-    this.runner = new StageRunner(options.engine);
+    this.runner = new StageRunner(options.engine, request =>
+      this.reportStalled(request),
+    );
     this.log = new ActivationLog(options.activationLogBytes);
   }
 
+  [Symbol.dispose](): void {
+    this.runner[Symbol.dispose]();
+  }
+
   /** Sequences that hold a cache in the engine. */
   get size(): number {
     return this.sequences.size;
@@ -76,10 +92,13 @@
 
   /** The range of layers that the engine holds now. */
   setInfo(info: EngineInfo): void {
+    const {info: old} = this;
     this.info = info;
+    if (old && !isSameRange(old, info)) this.discardAll();
   }
 
   takeInput(message: Input): void {
+    if (this.wasReleased(message)) return this.countDropped('released');
     if (!this.holdsLayersOf(message.chain, message.stage)) {
       return this.reportWrongRange(message);
     }
@@ -98,12 +117,12 @@
     const sequence = this.sequences.get(message.request);
     if (!sequence) return;
     this.settle(message.request, sequence.route);
-    const {attempt, chain, stage} = message;
-    sequence.send({type: 'reroute', route: {attempt, chain, stage}});
+    this.adopt(message, sequence);
   }
 
   replay(message: Replay): void {
     const sequence = this.sequences.get(message.request);
+    if (sequence) this.adopt(message, sequence);
     const output = this.log.read(message.request, message.fromPosition);
     const {request, attempt, stage} = message;
     if (sequence && output) return this.forward(request, sequence, output);
@@ -115,14 +134,72 @@
   }
 
   release(message: Release): void {
+    this.released.add(message.request, message.attempt);
     const sequence = this.sequences.get(message.request);
     if (!sequence) return;
     sequence.send({type: 'release', attempt: message.attempt});
     this.removeIfReleased(message.request, sequence);
   }
 
+  /** Sequences that can be moved now: their cache is at rest. */
+  movable(): Movable[] {
+    return [...this.sequences]
+      .filter(([, sequence]) => sequence.state === 'waiting')
+      .map(([request, sequence]) => ({request, route: sequence.route}));
+  }
+
+  /**
+   * Takes no more inputs of a sequence and returns its cache for `chain`.
+   * Throws `EngineError` if the engine does not export it.
+   */
+  async exportSequence(
+    request: RequestId,
+    chain: Chain,
+  ): Promise<ImportKv | undefined> {
+    const sequence = this.sequences.get(request);
+    if (!sequence || sequence.state !== 'waiting') return undefined;
+    sequence.send({type: 'move'});
+    const {nextPosition, engineKey} = sequence;
+    const data = await this.options.engine.exportKv(engineKey);
+    const lastOutput = this.lastOutput(request);
+    const route = {...sequence.route, chain};
+    return {
+      type: 'import_kv',
+      request,
+      ...route,
+      nextPosition,
+      data,
+      lastOutput,
+    };
+  }
+
+  /** Goes on with a sequence whose move has not been confirmed. */
+  resumeSequence(request: RequestId): void {
+    this.sequences.get(request)?.send({type: 'resume'});
+  }
+
+  /** Takes over a sequence; throws `EngineError` if the engine refuses. */
+  async importSequence(message: ImportKv): Promise<boolean> {
+    const {request, attempt, chain, stage} = message;
+    if (!this.holdsLayersOf(chain, stage)) return false;
+    if (this.sequences.has(request)) return false;
+    if (this.released.covers(request, attempt)) return false;
+    const route = toRoute(message);
+    const sequence = new Sequence(request, route, message.nextPosition);
+    await this.options.engine.importKv(sequence.engineKey, message.data);
+    this.sequences.set(request, sequence);
+    const output = message.lastOutput;
+    if (output?.kind === 'token') {
+      this.lastTokens.set(request, {...output, sequence: request});
+    } else if (output) {
+      this.log.append(request, output.position, output.count, output.data);
+    }
+    return true;
+  }
+
   /** Frees sequences whose entry has sent nothing for the orphan timeout. */
   releaseOrphans(): void {
+    this.released.expire(performance.now());
     const oldestMs = performance.now() - this.options.orphanTimeoutMs;
     for (const [request, sequence] of this.sequences) {
       if (sequence.lastUsedMs > oldestMs) continue;
@@ -149,6 +226,16 @@
     }
   }
 
+  private lastOutput(request: RequestId): StageOutput | undefined {
+    const token = this.lastTokens.get(request);
+    if (token) {
+      const {text, finished} = token;
+      return {kind: 'token', token: token.token, text, finished};
+    }
+    const output = this.log.readLast(request);
+    return output && {kind: 'activation', ...output};
+  }
+
   private holdsLayersOf(chain: Chain, stage: number): boolean {
     const info = this.info;
     const planned = chain.stages[stage];
@@ -162,6 +249,22 @@
     );
   }
 
+  /** Tells the entry that the engine hangs although this process is well. */
+  private reportStalled(request: RequestId): void {
+    const sequence = this.sequences.get(request);
+    if (!sequence) return;
+    this.options.metrics.increment('azurecrank_engine_stalls_total');
+    const {attempt, stage, entry} = sequence.route;
+    this.options.transport.send(entry, {
+      type: 'stage_failed',
+      request,
+      attempt,
+      stage,
+      reason: 'engine_stalled',
+      peer: this.options.node,
+    });
+  }
+
   private reportWrongRange(message: Input): void {
     this.options.metrics.increment('azurecrank_wrong_range_total');
     this.options.transport.send(message.entry, {
@@ -174,14 +277,46 @@
     });
   }
 
+  /** A message that was under way when its request was released. */
+  private wasReleased({request, attempt}: Input): boolean {
+    return this.released.covers(request, attempt);
+  }
+
+  private adopt(message: Reroute | Replay, sequence: Sequence): void {
+    const {attempt, cacheSince, chain, stage} = message;
+    const route = {attempt, cacheSince, chain, stage};
+    sequence.send({type: 'reroute', route});
+  }
+
   private findOrCreate(message: Input): Sequence {
-    const existing = this.sequences.get(message.request);
-    if (existing) return existing;
-    const sequence = new Sequence(toRoute(message));
-    this.sequences.set(message.request, sequence);
+    const {request} = message;
+    const existing = this.sequences.get(request);
+    if (existing && existing.route.attempt >= message.cacheSince) {
+      return existing;
+    }
+    if (existing) this.discard(request, existing);
+    const sequence = new Sequence(request, toRoute(message));
+    this.sequences.set(request, sequence);
     return sequence;
   }
 
+  /** Forgets a sequence whose cache is of no use any more. */
+  private discard(request: RequestId, sequence: Sequence): void {
+    this.settle(request, sequence.route);
+    this.sequences.delete(request);
+    this.lastTokens.delete(request);
+    this.pending.delete(request);
+    this.log.remove(request);
+    this.releaseInEngine(request, sequence.engineKey);
+  }
+
+  /** The engine has loaded other layers, so all caches are gone. */
+  private discardAll(): void {
+    for (const [request, sequence] of [...this.sequences]) {
+      this.discard(request, sequence);
+    }
+  }
+
   private carryOut(
     request: RequestId,
     sequence: Sequence,
@@ -213,7 +348,8 @@
     skip: number,
   ): void {
     const {rank} = sequence.route;
-    const step = toEngineStep(request, input, skip, rankIndex(rank));
+    const key = sequence.engineKey;
+    const step = toEngineStep(key, input, skip, rankIndex(rank));
     this.runner.submit({
       request,
       rank,
@@ -234,6 +370,8 @@
     step: EngineStep,
     output: EngineOutput,
   ): void {
+    // The sequence may have been discarded while its step was running.
+    if (this.sequences.get(request) !== sequence) return;
     if (output.kind === 'failed') {
       this.options.logger.warn('engine step failed', {
         request,
@@ -243,6 +381,7 @@
       });
       this.log.remove(request);
       this.pending.delete(request);
+      this.releaseInEngine(request, sequence.renewEngineKey());
       const decision = sequence.send({type: 'failed'});
       this.carryOut(request, sequence, decision);
       return this.removeIfReleased(request, sequence);
@@ -330,12 +469,11 @@
 
   private removeIfReleased(request: RequestId, sequence: Sequence): void {
     if (!sequence.isReleased) return;
-    this.settle(request, sequence.route);
-    this.sequences.delete(request);
-    this.lastTokens.delete(request);
-    this.pending.delete(request);
-    this.log.remove(request);
-    this.options.engine.release([request]).catch((error: unknown) => {
+    this.discard(request, sequence);
+  }
+
+  private releaseInEngine(request: RequestId, key: string): void {
+    this.options.engine.release([key]).catch((error: unknown) => {
       this.options.logger.warn('engine did not release a sequence', {
         request,
         step: 'respond',
@@ -358,13 +496,22 @@
   return input.position + countOf(input);
 }
 
-function toRoute(message: Input): SequenceRoute {
-  const {attempt, chain, stage, entry, rank} = message;
-  return {attempt, chain, stage, entry, rank};
+function toRoute(message: Input | ImportKv): SequenceRoute {
+  const {attempt, cacheSince, chain, stage, entry, rank} = message;
+  return {attempt, cacheSince, chain, stage, entry, rank};
+}
+
+function isSameRange(a: EngineInfo, b: EngineInfo): boolean {
+  return (
+    a.model === b.model &&
+    a.modelVersion === b.modelVersion &&
+    a.firstLayer === b.firstLayer &&
+    a.endLayer === b.endLayer
+  );
 }
 
 function toEngineStep(
-  request: RequestId,
+  sequence: string,
   input: Input,
   skip: number,
   priority: number,
@@ -373,7 +520,7 @@
   if (input.type === 'step') {
     const tokens = input.tokens.slice(skip);
     return {
-      sequence: request,
+      sequence,
       position,
       count: tokens.length,
       tokens,
@@ -383,7 +530,7 @@
   const bytesPerPosition = input.data.length / input.count;
   const data = input.data.subarray(skip * bytesPerPosition);
   return {
-    sequence: request,
+    sequence,
     position,
     count: input.count - skip,
     data,
--- a/packages/side/src/core/sequences/stage_runner.ts
+++ b/packages/side/src/core/sequences/stage_runner.ts
@@ -4,6 +4,7 @@
  */
 import {
   BatchFormer,
+  StallDetector,
   type BatchLimits,
   type BatchPick,
   type Engine,
@@ -79,16 +80,47 @@
   promptTokensBesideHigher: 256,
 };
 
-export class StageRunner {
+/**
+ * Shorter batches vary by more than the stall factor on a busy host, and a
+ * stage that is replaced for nothing costs a prefill.
+ */
+const MIN_STALL_MS = 1000;
+
+/** Weight of one batch in the expected time per position. */
+const SMOOTHING = 0.2;
+
+const STALL_CHECK_MS = 100;
+
+/** Key of the batch that runs; there is one at a time. */
+const BATCH = 'batch';
+
+export class StageRunner implements Disposable {
+  private readonly stalls = new StallDetector({minMs: MIN_STALL_MS});
+  private readonly stallTimer: NodeJS.Timeout;
+  private running: readonly BatchPick<PendingWork>[] = [];
+  private expectedBatchMs = 0;
+  private expectedPositionMs = 0;
   private queue: PendingWork[] = [];
   private readonly former: BatchFormer<PendingWork>;
   private isRunning = false;
 
   constructor(
     private readonly engine: Engine,
+    private readonly onStalled: (request: RequestId) => void = () => {},
     limits: BatchLimits = DEFAULT_BATCH_LIMITS,
   ) {
     this.former = new BatchFormer(limits);
+    this.stallTimer = setInterval(() => this.checkStall(), STALL_CHECK_MS);
+    this.stallTimer.unref();
+  }
+
+  [Symbol.dispose](): void {
+    clearInterval(this.stallTimer);
+  }
+
+  /** Extends the running batch's time by a pause of this process. */
+  notePause(pausedMs: number): void {
+    this.stalls.paused(pausedMs);
   }
 
   get queuedSteps(): number {
@@ -115,8 +147,13 @@
   ): Promise<void> {
     const startMs = performance.now();
     const steps = picks.map(({step, take}) => step.nextStep(take));
+    const positions = picks.reduce((sum, {take}) => sum + take, 0);
+    this.running = picks;
+    this.stalls.started(BATCH, this.expectedMs(positions), startMs);
     const outputs = await this.callEngine(steps);
+    this.stalls.finished(BATCH);
     const durationMs = performance.now() - startMs;
+    this.learn(positions, picks.length, durationMs);
     const ended = new Set(
       picks
         .filter(({step, take}, index) =>
@@ -127,6 +164,26 @@
     this.queue = this.queue.filter(pending => !ended.has(pending));
   }
 
+  private expectedMs(positions: number): number {
+    return this.expectedBatchMs + positions * this.expectedPositionMs;
+  }
+
+  /** Decode batches give the base time, prompts the time per position. */
+  private learn(positions: number, steps: number, durationMs: number): void {
+    if (positions === steps) {
+      this.expectedBatchMs += (durationMs - this.expectedBatchMs) * SMOOTHING;
+      return;
+    }
+    const positionMs = durationMs / positions;
+    this.expectedPositionMs +=
+      (positionMs - this.expectedPositionMs) * SMOOTHING;
+  }
+
+  private checkStall(): void {
+    if (this.stalls.tick(performance.now()).length === 0) return;
+    for (const {step} of this.running) this.onStalled(step.request);
+  }
+
   /** An engine that does not answer fails every step of the batch. */
   private async callEngine(
     steps: readonly EngineStep[],
