--- a/packages/side/src/core/sequences/activation_log.ts
+++ b/packages/side/src/core/sequences/activation_log.ts
@@ -89,11 +89,22 @@
     return entry;
   }
 
-  /** Drops the logs of the sequences used longest ago, but not the newest. */
+  /**
+   * Drops the logs of the sequences used longest ago, then the oldest outputs
+   * of the newest one. Its last output stays, to answer a repeated input.
+   */
   private trim(newest: RequestId): void {
     for (const request of this.entries.keys()) {
       if (this.totalBytes <= this.limitBytes) return;
       if (request !== newest) this.remove(request);
     }
+    const entry = this.entries.get(newest);
+    while (entry && entry.chunks.length > 1) {
+      if (this.totalBytes <= this.limitBytes) return;
+      const [oldest] = entry.chunks.splice(0, 1);
+      entry.firstPosition += oldest.length / entry.bytesPerPosition;
+      entry.sizeBytes -= oldest.length;
+      this.totalBytes -= oldest.length;
+    }
   }
 }
