Test plain calls and configuration under failures

The key-value stand-in can lose only the answers to chosen requests, so that the answer of one claim or apply is lost and no other.

--- a/packages/bench/src/fleet/call_client.ts
+++ b/packages/bench/src/fleet/call_client.ts
@@ -11,6 +11,7 @@
   readonly idempotencyKey?: string;
   /** Counted by the stand-in service. */
   readonly reference?: string;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 export interface CallOutcome {
@@ -32,6 +33,7 @@
         'content-type': 'application/json',
         ...(idempotencyKey && {'idempotency-key': idempotencyKey}),
         ...(reference && {'x-reference': reference}),
+        ...options.headers,
       },
       body: options.body,
     });
--- a/packages/standins/src/http/fault_switch.ts
+++ b/packages/standins/src/http/fault_switch.ts
@@ -6,10 +6,12 @@
   slowMs: number;
   /** The next answers are lost after the request took effect. */
   loseAnswers: number;
+  /** Loses only answers to `METHOD PATH` that starts so, such as `PUT /kv/`. */
+  loseOnly: string;
   /** Requests are taken and never answered. */
   frozen: boolean;
 }
 
 export function noFaults(): Faults {
-  return {down: false, slowMs: 0, loseAnswers: 0, frozen: false};
+  return {down: false, slowMs: 0, loseAnswers: 0, loseOnly: '', frozen: false};
 }
--- a/packages/standins/src/http/standin_server.ts
+++ b/packages/standins/src/http/standin_server.ts
@@ -83,7 +83,9 @@
         handler,
       );
       if (this.faults.slowMs > 0) await delay(this.faults.slowMs);
-      if (this.faults.loseAnswers > 0) {
+      const {loseAnswers, loseOnly} = this.faults;
+      const {method, originalUrl} = req as unknown as RoutedRequest;
+      if (loseAnswers > 0 && `${method} ${originalUrl}`.startsWith(loseOnly)) {
         this.faults.loseAnswers--;
         return void req.socket.destroy();
       }
