Test planned stops under load

Red: 'side of stage 1 stops under load', the same with a lost notice (30 new sequences each started there more than 1 s after the stop) and 'all stages of a chain are restarted one after the other' (stage 1 gets no work after its restart).

--- /dev/null
+++ b/packages/bench/test/failure_leaving_test.ts
@@ -0,0 +1,135 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {
+  FailureFleet,
+  expectWhole,
+  getJson,
+  readMetric,
+  startStream,
+  until,
+  type ForwardedServer,
+  type Stream,
+} from './failure_fleet.js';
+
+/** Time after a notice from which no new work may start. */
+const NOTICE_MS = 1000;
+const TOKENS = 120;
+
+/** Guards against planned stops that callers or new work notice. */
+describe('leaving', () => {
+  let all: FailureFleet;
+  let streams: Stream[];
+
+  beforeEach(async () => {
+    streams = [];
+    all = new FailureFleet();
+    await all.start({chains: 2, entries: 2, maxSequences: 4});
+  });
+  afterEach(() => all[Symbol.dispose]());
+
+  /** More streams than slots, so that some wait at the heads. */
+  async function streamUntilBusy(count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      const entry = all.entries[index % all.entries.length];
+      const prompt = `order ${index} of spare part ${index * 7}`;
+      streams.push(startStream(entry, prompt, TOKENS));
+    }
+    await until('streams run', () => streams.some(s => s.tokens > 10));
+  }
+
+  async function sequencesOf({engine}: ForwardedServer): Promise<Set<string>> {
+    const {executions} = await getJson<{executions: object}>(
+      `${engine.url}/debug`,
+    );
+    return new Set(Object.keys(executions).map(key => key.split('@')[0]));
+  }
+
+  /** Starts requests all the time until the server has stopped. */
+  async function expectNoNewWork(server: ForwardedServer): Promise<void> {
+    const exited = server.program.waitForExit();
+    let isStopped = false;
+    void exited.then(() => (isStopped = true));
+    const leftMs = performance.now();
+    let known: Set<string> | undefined;
+    for (let index = 0; !isStopped || !known; index++) {
+      const entry = all.entries[index % all.entries.length];
+      streams.push(startStream(entry, `late order ${index}`, 5));
+      if (!known && performance.now() - leftMs > NOTICE_MS) {
+        known = await sequencesOf(server);
+      }
+      expect(performance.now() - leftMs).toBeLessThan(15_000);
+      await sleep(50);
+    }
+    expect(await exited).toEqual(0);
+    const added = [...(await sequencesOf(server))].filter(s => !known.has(s));
+    expect(added.length).toEqual(0);
+  }
+
+  async function restart(server: ForwardedServer): Promise<void> {
+    server.program.kill('SIGTERM');
+    expect(await server.program.waitForExit()).toEqual(0);
+    const before = await sequencesOf(server);
+    const side = await all.fleet.startSide(server.server, {
+      engine_url: server.engine.url,
+      advertised_address: server.forwarder.address,
+    });
+    server.forwarder.setTarget(side.peerAddress);
+    await until(`${server.server} works again`, async () => {
+      return (await sequencesOf(server)).size > before.size;
+    });
+  }
+
+  for (const stage of [0, 1]) {
+    it(`side of stage ${stage} stops under load`, async () => {
+      await streamUntilBusy(12);
+      const waiting = await readMetric(
+        all.servers[0],
+        'azurecrank_waiting_requests',
+      );
+      expect(waiting > 0).toEqual(true);
+      all.servers[stage].program.kill('SIGTERM');
+      await expectNoNewWork(all.servers[stage]);
+      await expectWhole(streams);
+    });
+
+    it(`side of stage ${stage} stops and its notice is lost`, async () => {
+      await streamUntilBusy(12);
+      all.servers[stage].forwarder.silenceOpenConnections();
+      all.servers[stage].program.kill('SIGTERM');
+      await expectNoNewWork(all.servers[stage]);
+      await expectWhole(streams);
+    });
+  }
+
+  it('entry stops under streams', async () => {
+    await streamUntilBusy(8);
+    const {httpUrl, program} = all.entries[0];
+    program.kill('SIGTERM');
+    await until('readiness is off', async () => {
+      return (await fetch(`${httpUrl}/readyz`)).status === 503;
+    });
+    streams.push(startStream(all.entries[0], 'within the grace time', TOKENS));
+    expect(await program.waitForExit()).toEqual(0);
+    await expectWhole(streams);
+  });
+
+  it('all stages of a chain are restarted one after the other', async () => {
+    await streamUntilBusy(4);
+    const over = new AbortController();
+    const feeding = (async () => {
+      for (let index = 0; !over.signal.aborted; index++) {
+        const entry = all.entries[index % all.entries.length];
+        streams.push(startStream(entry, `part ${index}`, TOKENS));
+        await sleep(100);
+      }
+    })();
+    try {
+      for (const server of all.servers.slice(0, 3)) await restart(server);
+    } finally {
+      over.abort();
+      await feeding;
+    }
+    await expectWhole(streams);
+  });
+});
