Refuse new sequences at a leaving stage and greet servers that come back

Cause: only the head of a chain refused work when it was leaving. An entry that had no connection to a later stage, or whose notice was lost, started requests there until the process ended. A refusal was not remembered either, and a stream that had sent a step could not take the refusal, because the retry rule of server_leaving asks for a request that has not run anywhere. After its restart a later stage got no work, because entries greet only heads and servers that are down, and the notice of the old run hid the new one.

A leaving stage now refuses sequences it does not hold with stage_failed leaving, entries remember it as a notice, and servers with a notice are connected to again, so that the greeting of the next run voids it.

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -108,6 +108,16 @@
 /** A token that takes longer may have been lost on its way. */
 const STEP_RESEND_MS = 1000;
 
+/**
+ * Reasons by which the server has not run this attempt, whatever ran before
+ * elsewhere: a stream that goes on may be refused by a leaving server.
+ */
+const NOT_RUN_THERE: ReadonlySet<RetryReason> = new Set<RetryReason>([
+  'server_leaving',
+  'refused_elsewhere',
+  'connect_failed',
+]);
+
 const ENDED = new Set(['complete', 'refused', 'failed', 'cancelled']);
 
 /** Pause before a request without a chain looks for one again. */
@@ -258,8 +268,10 @@
     if (this.runner.state !== 'queued') return;
     const head = this.chain?.stages[0];
     if (head) this.settle(head.address);
-    if (message.reason === 'leaving')
+    if (message.reason === 'leaving') {
+      if (head) this.deps.policy.noteLeaving(head.server);
       return this.openElsewhere('server_leaving');
+    }
     if (this.generated.length > 0) return this.openLater();
     const isElsewhere =
       message.reason === 'queue_full' ||
@@ -301,6 +313,10 @@
 
   private onStageFailed(message: StageFailed): void {
     if (message.attempt !== this.attempt) return;
+    const lost = this.chain?.stages[message.stage];
+    if (lost && message.reason === 'leaving') {
+      this.deps.policy.noteLeaving(lost.server);
+    }
     this.recover(message.stage, retryReasonOf(message));
   }
 
@@ -470,9 +486,10 @@
   }
 
   private mayRetry(reason: RetryReason): boolean {
+    const ran = NOT_RUN_THERE.has(reason) ? 'not_run' : this.ranState();
     return this.deps.policy.allowRetry(
       reason,
-      this.ranState(),
+      ran,
       this.retries.get(reason) ?? 0,
       this.spec.deadlineAtMs - performance.now(),
     );
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -228,7 +228,7 @@
   /** Connections bring load reports and show when a lost server is back. */
   private connectHeads(): void {
     const {router, peers} = this;
-    const addresses = [...router.headAddresses(), ...router.downAddresses()];
+    const addresses = [...router.headAddresses(), ...router.absentAddresses()];
     for (const address of addresses) peers.link(address);
   }
 
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -65,11 +65,17 @@
     return this.servers.get(address);
   }
 
-  /** Servers of the plan that could not be reached last time. */
-  downAddresses(): PeerAddress[] {
+  /**
+   * Servers of the plan that could not be reached last time or have left:
+   * only the greeting of their next run shows that they are back.
+   */
+  absentAddresses(): PeerAddress[] {
     this.refresh();
+    const absent = new Set(['down', 'notice']);
     return [...this.servers]
-      .filter(([, server]) => this.membership.ineligibility(server) === 'down')
+      .filter(([, server]) =>
+        absent.has(this.membership.ineligibility(server) ?? ''),
+      )
       .map(([address]) => address);
   }
 
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -113,6 +113,7 @@
   /** Takes no new request; those in flight go on. */
   leave(): void {
     this.head.leave();
+    this.stage.leave();
   }
 
   onPeerDown(address: PeerAddress): void {
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -59,6 +59,7 @@
   private readonly pending = new Map<RequestId, Input>();
   private readonly lastTokens = new Map<RequestId, TokenOutput>();
   private info: EngineInfo | undefined;
+  private isLeaving = false;
 
   constructor(private readonly options: StageOptions) {
     this.runner = new StageRunner(options.engine);
@@ -79,9 +80,18 @@
     this.info = info;
   }
 
+  /** Takes no new sequence; those that are here go on. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
   takeInput(message: Input): void {
     if (!this.holdsLayersOf(message.chain, message.stage)) {
-      return this.reportWrongRange(message);
+      return this.refuseInput(message, 'wrong_range');
+    }
+    // Entries need not be connected to this stage when its notice goes out.
+    if (this.isLeaving && !this.sequences.has(message.request)) {
+      return this.refuseInput(message, 'leaving');
     }
     const sequence = this.findOrCreate(message);
     this.settle(message.request, sequence.route);
@@ -162,14 +172,16 @@
     );
   }
 
-  private reportWrongRange(message: Input): void {
-    this.options.metrics.increment('azurecrank_wrong_range_total');
+  private refuseInput(message: Input, reason: 'wrong_range' | 'leaving'): void {
+    if (reason === 'wrong_range') {
+      this.options.metrics.increment('azurecrank_wrong_range_total');
+    }
     this.options.transport.send(message.entry, {
       type: 'stage_failed',
       request: message.request,
       attempt: message.attempt,
       stage: message.stage,
-      reason: 'wrong_range',
+      reason,
       peer: this.options.node,
     });
   }
