--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -89,6 +89,10 @@
   abstract recordSuccess(): void;
   /** A server has refused work because it is leaving. */
   abstract noteLeaving(server: ServerId): void;
+  /** A server cannot be reached by the stage before it. */
+  abstract noteLost(server: ServerId): void;
+  /** Returns the chain with usable servers after its head, where there are. */
+  abstract withUsableStages(chain: Chain): Chain;
 }
 
 export interface GenerationDependencies {
@@ -260,6 +264,8 @@
     if (!this.runner.send({type: 'granted'})) return;
     this.observe('azurecrank_queue_ms');
     this.promptTokens = message.promptTokens;
+    // Servers may have gone while the request waited; no cache exists yet.
+    if (this.chain) this.chain = this.deps.policy.withUsableStages(this.chain);
     this.sendTokensFrom(0);
   }
 
@@ -314,9 +320,9 @@
   private onStageFailed(message: StageFailed): void {
     if (message.attempt !== this.attempt) return;
     const lost = this.chain?.stages[message.stage];
-    if (lost && message.reason === 'leaving') {
-      this.deps.policy.noteLeaving(lost.server);
-    }
+    const {policy} = this.deps;
+    if (lost && message.reason === 'leaving') policy.noteLeaving(lost.server);
+    if (lost && message.reason === 'stage_lost') policy.noteLost(lost.server);
     this.recover(message.stage, retryReasonOf(message));
   }
 
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -157,6 +157,17 @@
     this.membership.noteLeaving(server);
   }
 
+  override noteLost(server: ServerId): void {
+    this.membership.noteDown(server);
+  }
+
+  override withUsableStages(chain: Chain): Chain {
+    return chain.stages.reduce((current, {server}, index) => {
+      if (index === 0 || this.membership.mayGetNewWork(server)) return current;
+      return this.replaceStage(current, index, new Set()) ?? current;
+    }, chain);
+  }
+
   /** Falls back to the whole plan when nothing in the subset is usable. */
   private usableChains(model: ModelId): Chain[] {
     const subset = this.subsets.get(model) ?? [];
