--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -91,6 +91,10 @@
   abstract recordSuccess(): void;
   /** A server has refused work because it is leaving. */
   abstract noteLeaving(server: ServerId): void;
+  /** A server cannot be reached by the stage before it. */
+  abstract noteLost(server: ServerId): void;
+  /** Returns the chain with usable servers after its head, where there are. */
+  abstract withUsableStages(chain: Chain): Chain;
 }
 
 export interface GenerationDependencies {
@@ -116,6 +120,16 @@
 /** A token that takes longer may have been lost on its way. */
 const STEP_RESEND_MS = 1000;
 
+/**
+ * Reasons by which the server has not run this attempt, whatever ran before
+ * elsewhere: a stream that goes on may be refused by a leaving server.
+ */
+const NOT_RUN_THERE: ReadonlySet<RetryReason> = new Set<RetryReason>([
+  'server_leaving',
+  'refused_elsewhere',
+  'connect_failed',
+]);
+
 const ENDED = new Set(['complete', 'refused', 'failed', 'cancelled']);
 
 /** Pause before a request without a chain looks for one again. */
@@ -263,6 +277,8 @@
     this.observe('azurecrank_queue_ms');
     this.promptTokens = message.promptTokens;
     this.cacheSince = this.attempt;
+    // Servers may have gone while the request waited; no cache exists yet.
+    if (this.chain) this.chain = this.deps.policy.withUsableStages(this.chain);
     this.sendTokensFrom(0);
   }
 
@@ -271,8 +287,10 @@
     if (this.runner.state !== 'queued') return;
     const head = this.chain?.stages[0];
     if (head) this.settle(head.address);
-    if (message.reason === 'leaving')
+    if (message.reason === 'leaving') {
+      if (head) this.deps.policy.noteLeaving(head.server);
       return this.openElsewhere('server_leaving');
+    }
     if (this.generated.length > 0) return this.openLater();
     const isElsewhere =
       message.reason === 'queue_full' ||
@@ -315,6 +333,10 @@
 
   private onStageFailed(message: StageFailed): void {
     if (message.attempt !== this.attempt) return;
+    const lost = this.chain?.stages[message.stage];
+    const {policy} = this.deps;
+    if (lost && message.reason === 'leaving') policy.noteLeaving(lost.server);
+    if (lost && message.reason === 'stage_lost') policy.noteLost(lost.server);
     this.recover(message.stage, retryReasonOf(message));
   }
 
@@ -523,9 +545,10 @@
   }
 
   private mayRetry(reason: RetryReason): boolean {
+    const ran = NOT_RUN_THERE.has(reason) ? 'not_run' : this.ranState();
     return this.deps.policy.allowRetry(
       reason,
-      this.ranState(),
+      ran,
       this.retries.get(reason) ?? 0,
       this.spec.deadlineAtMs - performance.now(),
     );
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -73,11 +73,17 @@
     return found?.[0];
   }
 
-  /** Servers of the plan that could not be reached last time. */
-  downAddresses(): PeerAddress[] {
+  /**
+   * Servers of the plan that could not be reached last time or have left:
+   * only the greeting of their next run shows that they are back.
+   */
+  absentAddresses(): PeerAddress[] {
     this.refresh();
+    const absent = new Set(['down', 'notice']);
     return [...this.servers]
-      .filter(([, server]) => this.membership.ineligibility(server) === 'down')
+      .filter(([, server]) =>
+        absent.has(this.membership.ineligibility(server) ?? ''),
+      )
       .map(([address]) => address);
   }
 
@@ -159,6 +165,17 @@
     this.membership.noteLeaving(server);
   }
 
+  override noteLost(server: ServerId): void {
+    this.membership.noteDown(server);
+  }
+
+  override withUsableStages(chain: Chain): Chain {
+    return chain.stages.reduce((current, {server}, index) => {
+      if (index === 0 || this.membership.mayGetNewWork(server)) return current;
+      return this.replaceStage(current, index, new Set()) ?? current;
+    }, chain);
+  }
+
   /** Falls back to the whole plan when nothing in the subset is usable. */
   private usableChains(model: ModelId): Chain[] {
     const subset = this.subsets.get(model) ?? [];
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -125,6 +125,7 @@
   /** Takes no new request; those in flight move or go on. */
   leave(): void {
     this.head.leave();
+    this.stage.leave();
     this.store.interval(() => this.handover.moveSome(), HANDOVER_MS);
   }
 
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -69,6 +69,7 @@
   private readonly released = new ReleasedRequests();
   private readonly lastTokens = new Map<RequestId, TokenOutput>();
   private info: EngineInfo | undefined;
+  private isLeaving = false;
 
   constructor(private readonly options: StageOptions) {
     this.runner = new StageRunner(options.engine, request =>
@@ -97,10 +98,19 @@
     if (old && !isSameRange(old, info)) this.discardAll();
   }
 
+  /** Takes no new sequence; those that are here go on. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
   takeInput(message: Input): void {
     if (this.wasReleased(message)) return this.countDropped('released');
     if (!this.holdsLayersOf(message.chain, message.stage)) {
-      return this.reportWrongRange(message);
+      return this.refuseInput(message, 'wrong_range');
+    }
+    // Entries need not be connected to this stage when its notice goes out.
+    if (this.isLeaving && !this.sequences.has(message.request)) {
+      return this.refuseInput(message, 'leaving');
     }
     const sequence = this.findOrCreate(message);
     this.settle(message.request, sequence.route);
@@ -182,7 +192,7 @@
   async importSequence(message: ImportKv): Promise<boolean> {
     const {request, attempt, chain, stage} = message;
     if (!this.holdsLayersOf(chain, stage)) return false;
-    if (this.sequences.has(request)) return false;
+    if (this.isLeaving || this.sequences.has(request)) return false;
     if (this.released.covers(request, attempt)) return false;
     const route = toRoute(message);
     const sequence = new Sequence(request, route, message.nextPosition);
@@ -265,14 +275,16 @@
     });
   }
 
-  private reportWrongRange(message: Input): void {
-    this.options.metrics.increment('azurecrank_wrong_range_total');
+  private refuseInput(message: Input, reason: 'wrong_range' | 'leaving'): void {
+    if (reason === 'wrong_range') {
+      this.options.metrics.increment('azurecrank_wrong_range_total');
+    }
     this.options.transport.send(message.entry, {
       type: 'stage_failed',
       request: message.request,
       attempt: message.attempt,
       stage: message.stage,
-      reason: 'wrong_range',
+      reason,
       peer: this.options.node,
     });
   }
