Answer every refusal of callers in one form and survive broken bodies

Other paths and methods got plain text. A bad rank or deadline header was ignored. Refusals carried no request id and left no log line. A stop did not wait for requests whose body was being read.

Ruled out: counting a late body as deadline_exceeded, because slow callers would then hide deadlines that the system missed. The reasons unknown_path (404), method_not_allowed (405) and request_timeout (408) are new.

Fields that ask for something the system does not do (n above 1, tools, stop sequences, images) are refused with the field's name; values that ask for nothing are accepted. All metrics come from one catalog and are declared at start. Bad settings and ports in use end a process with code 1 and one message; an engine or key-value service that gives no answer at start is logged and tried again.

--- a/packages/azurecrank/src/cli/entry/entry_command.ts
+++ b/packages/azurecrank/src/cli/entry/entry_command.ts
@@ -1,14 +1,8 @@
 /** `azurecrank entry`: runs the process of an entry host. */
-import {
-  SettingsError,
-  entrySettingsSchema,
-  readSettings,
-} from '@azurecrank/core';
+import {entrySettingsSchema, readSettings, runProcess} from '@azurecrank/core';
 import type {CommandModule} from 'yargs';
 import {EntryProcess} from '../../core/process/entry_process.js';
 
-const EXIT_INVALID = 1;
-
 interface EntryArguments {
   readonly settings: string;
 }
@@ -20,27 +14,11 @@
     builder.option('settings', {
       type: 'string',
       demandOption: true,
+      requiresArg: true,
       describe: 'Settings of this process (TOML)',
     }),
-  handler: async ({settings}) => runEntry(settings),
+  handler: ({settings}) =>
+    runProcess(
+      () => new EntryProcess(readSettings(settings, entrySettingsSchema)),
+    ),
 };
-
-async function runEntry(file: string): Promise<void> {
-  try {
-    const entry = new EntryProcess(readSettings(file, entrySettingsSchema));
-    const stop = async () => {
-      await entry.stop();
-      process.exit(0);
-    };
-    process.on('SIGTERM', stop);
-    process.on('SIGINT', stop);
-    const httpPort = await entry.start();
-    const {peerAddress} = entry;
-    const line = JSON.stringify({ready: true, httpPort, peerAddress});
-    process.stdout.write(line + '\n');
-  } catch (error) {
-    if (!(error instanceof SettingsError)) throw error;
-    process.stderr.write(error.message + '\n');
-    process.exit(EXIT_INVALID);
-  }
-}
--- a/packages/azurecrank/src/core/gateway/call_gateway.ts
+++ b/packages/azurecrank/src/core/gateway/call_gateway.ts
@@ -1,28 +1,28 @@
 /** Plain services for callers: `ANY /services/SERVICE/PATH`. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  createRequestId,
-  refuse,
   toId,
   type CallResult,
-  type InstanceId,
   type Refusal,
   type ServiceId,
   type ServiceServer,
 } from '@azurecrank/core';
 import type {Polka} from 'polka';
 import type {CallDispatcher} from '../calls/call_dispatcher.js';
-import type {CallerDirectory} from './caller_directory.js';
-import {sendProblem} from './chat_response.js';
-import {type Gateway, readDeadlineMs, readRank} from './gateway.js';
-import {readBody} from './http_body.js';
+import type {
+  Caller,
+  CallerDirectory,
+  PlainServiceInfo,
+} from './caller_directory.js';
+import type {Exchange} from './exchange.js';
+import type {RefusalSender} from './refusal_sender.js';
+import type {RequestGate} from './request_gate.js';
 
 export interface CallGatewayOptions {
-  readonly instance: InstanceId;
-  readonly gateway: Gateway;
+  readonly gate: RequestGate;
+  readonly refusals: RefusalSender;
   readonly directory: CallerDirectory;
   readonly dispatcher: CallDispatcher;
-  readonly maxBodyBytes: number;
   readonly servers: (service: ServiceId) => readonly ServiceServer[];
 }
 
@@ -34,64 +34,85 @@
 const OWN_HEADERS = new Set(['authorization', KEY_HEADER, 'host']);
 
 export class CallGateway {
-  /** Calls that have not been answered. */
-  inFlight = 0;
-
   constructor(private readonly options: CallGatewayOptions) {}
 
   addRoutes(app: Polka): void {
     app.use((req, res, next) => {
       if (!req.url?.startsWith(PREFIX)) return next();
-      this.inFlight++;
-      void this.call(req, res).finally(() => this.inFlight--);
+      this.options.gate.handle(req, res, exchange => this.call(exchange));
     });
   }
 
-  private async call(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const {gateway, directory, maxBodyBytes, instance} = this.options;
-    const caller = gateway.authenticate(req, res);
-    if (!caller) return;
+  private async call(exchange: Exchange): Promise<void> {
+    const {gate, refusals, dispatcher} = this.options;
+    const caller = gate.authenticate(exchange);
+    if (!caller || !gate.admit(exchange, 'call')) return;
+    const {req, res, request} = exchange;
     const {name, path} = splitUrl(req.url ?? '');
-    const info = directory.findPlainService(name);
-    if (!info) return gateway.refuse(res, refuse('unknown_service', 'accept'));
-    const {service} = info;
-    if (!directory.mayUse(caller, service)) {
-      return gateway.refuse(res, refuse('forbidden_service', 'accept'));
-    }
-    const idempotencyKey = String(req.headers[KEY_HEADER] ?? '');
-    if (idempotencyKey.length > MAX_KEY_LENGTH) {
-      const detail = `Idempotency-Key is longer than ${MAX_KEY_LENGTH}`;
-      return gateway.refuse(res, refuse('invalid_request', 'accept', {detail}));
-    }
-    const body = await readBody(req, maxBodyBytes);
-    if (!body) return gateway.refuse(res, refuse('body_too_large', 'accept'));
+    const info = this.findService(exchange, caller, name);
+    const limits = info && gate.readHeaders(exchange, info);
+    if (!limits) return;
+    const idempotencyKey = this.readKey(exchange);
+    if (idempotencyKey === undefined) return;
+    const body = await gate.readBody(exchange);
+    if (!body) return;
     const left = new AbortController();
     res.once('close', () => left.abort());
+    if (res.destroyed) left.abort();
+    const {service} = info;
     const method = req.method ?? 'GET';
-    const request = createRequestId(instance);
-    const answer = await this.options.dispatcher.dispatch(
+    const answer = await dispatcher.dispatch(
       {
         request,
         workspace: caller.workspace,
         service,
-        rank: readRank(req, info.rank),
+        rank: limits.rank,
         method,
         path,
         headers: toForwardedHeaders(req),
         body,
         idempotencyKey,
-        idempotent: directory.isIdempotent(service, method, path),
-        deadlineMs: readDeadlineMs(req, info.deadlineMs),
+        idempotent: this.options.directory.isIdempotent(service, method, path),
+        deadlineMs: limits.deadlineMs,
       },
       this.options.servers(service),
       left.signal,
     );
-    res.setHeader('azurecrank-request-id', request);
-    if (isRefusal(answer)) {
-      gateway.count(answer);
-      return sendProblem(res, answer, request);
+    if (isRefusal(answer)) refusals.refuse(exchange, answer);
+    else sendResult(res, answer);
+  }
+
+  /** Returns a service the caller may use, or answers a refusal. */
+  private findService(
+    exchange: Exchange,
+    caller: Caller,
+    name: ServiceId,
+  ): PlainServiceInfo | undefined {
+    const {gate, directory} = this.options;
+    const info = directory.findPlainService(name);
+    if (!info) {
+      const detail = `no plain service named ${name}`;
+      gate.refuse(exchange, 'unknown_service', {detail});
+      return undefined;
     }
-    sendResult(res, answer);
+    exchange.service = info.service;
+    if (directory.mayUse(caller, info.service)) return info;
+    gate.refuse(exchange, 'forbidden_service');
+    return undefined;
+  }
+
+  /**
+   * Returns the idempotency key, empty if there is none. An empty header is
+   * refused: the caller believes that it has protected the call.
+   */
+  private readKey(exchange: Exchange): string | undefined {
+    const key = exchange.req.headers[KEY_HEADER];
+    if (key === undefined) return '';
+    const text = String(key);
+    if (text !== '' && text.length <= MAX_KEY_LENGTH) return text;
+    const detail = `${KEY_HEADER}: expected 1 to ${MAX_KEY_LENGTH} characters`;
+    this.options.gate.refuse(exchange, 'invalid_request', {detail});
+    return undefined;
   }
 }
 
--- a/packages/azurecrank/src/core/gateway/chat_request.ts
+++ b/packages/azurecrank/src/core/gateway/chat_request.ts
@@ -1,11 +1,19 @@
 /** Checks the body of `POST /v1/chat/completions`. */
 import {z} from 'zod';
+import {findUnsupported} from './unsupported_fields.js';
 
-const contentPart = z.object({type: z.literal('text'), text: z.string()});
+const contentPart = z.union([
+  z.object({type: z.literal('text'), text: z.string()}),
+  z.object({type: z.literal('refusal'), refusal: z.string()}),
+]);
+
+const content = z.union([z.string(), z.array(contentPart).min(1)], {
+  error: 'expected a string or a list of text parts',
+});
 
 const messageSchema = z.object({
   role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
-  content: z.union([z.string(), z.array(contentPart)]),
+  content,
 });
 
 const DEFAULT_MAX_TOKENS = 256;
@@ -13,15 +21,14 @@
 
 const maxTokens = z.number().int().positive().max(MAX_TOKENS_LIMIT);
 
-/** Fields of the API that do not change the route are accepted and ignored. */
+/** Fields of the API that do not change the answer's form are ignored. */
 const chatSchema = z.object({
   model: z.string().min(1),
   messages: z.array(messageSchema).min(1),
   stream: z.boolean().nullish(),
   max_tokens: maxTokens.nullish(),
   max_completion_tokens: maxTokens.nullish(),
-  n: z.literal(1).nullish(),
-  stream_options: z.object({include_usage: z.boolean().optional()}).nullish(),
+  stream_options: z.object({include_usage: z.boolean().nullish()}).nullish(),
 });
 
 export interface ChatRequest {
@@ -41,9 +48,12 @@
   let raw: unknown;
   try {
     raw = JSON.parse(body.toString('utf8'));
-  } catch {
-    return {kind: 'invalid', detail: 'the body is not JSON'};
+  } catch (error) {
+    const detail = `the body is not JSON: ${(error as Error).message}`;
+    return {kind: 'invalid', detail};
   }
+  const unsupported = findUnsupported(raw);
+  if (unsupported) return {kind: 'invalid', detail: unsupported};
   const result = chatSchema.safeParse(raw);
   if (!result.success) {
     const [issue] = result.error.issues;
@@ -66,6 +76,8 @@
   const text =
     typeof content === 'string'
       ? content
-      : content.map(part => part.text).join('');
+      : content
+          .map(part => (part.type === 'text' ? part.text : part.refusal))
+          .join('');
   return `${role}: ${text}`;
 }
--- a/packages/azurecrank/src/core/gateway/chat_response.ts
+++ b/packages/azurecrank/src/core/gateway/chat_response.ts
@@ -1,35 +1,12 @@
 /** Writes answers of the chat completions API, streamed and whole. */
 import type {ServerResponse} from 'node:http';
-import {
-  refusalData,
-  toProblemDocument,
-  type Refusal,
-  type RequestId,
-} from '@azurecrank/core';
+import type {Refusal, RequestId} from '@azurecrank/core';
 import type {GenerationSink} from '../generation/generation.js';
+import type {Exchange} from './exchange.js';
+import {toProblemBody, type RefusalSender} from './refusal_sender.js';
 
 const MS_PER_SECOND = 1000;
 
-/** Sends a refusal as `application/problem+json` (RFC 9457). */
-export function sendProblem(
-  res: ServerResponse,
-  refusal: Refusal,
-  request: RequestId | '',
-): void {
-  const problem = toProblemDocument(refusal, request);
-  res.statusCode = problem.status;
-  res.setHeader('content-type', 'application/problem+json');
-  if (refusal.retryAfterMs !== undefined) {
-    const retryAfterS = Math.ceil(refusal.retryAfterMs / MS_PER_SECOND);
-    res.setHeader('retry-after', String(retryAfterS));
-  }
-  // Clients of the chat API read the message from an `error` member.
-  const {title, detail, reason} = problem;
-  const message = detail === title ? title : `${title}: ${detail}`;
-  const error = {message, type: reason, code: reason};
-  res.end(JSON.stringify({...problem, error}));
-}
-
 interface ChatHead {
   readonly id: string;
   readonly created: number;
@@ -47,9 +24,9 @@
   private tokens = 0;
 
   constructor(
-    private readonly res: ServerResponse,
-    private readonly request: RequestId,
+    private readonly exchange: Exchange,
     private readonly head: ChatHead,
+    private readonly refusals: RefusalSender,
     private readonly ended: () => void,
   ) {}
 
@@ -59,10 +36,11 @@
   }
 
   onEnd(finish: 'stop' | 'length', promptTokens: number): void {
-    this.res.setHeader('content-type', 'application/json');
-    const message = {role: 'assistant', content: this.text};
+    const {res} = this.exchange;
+    res.setHeader('content-type', 'application/json');
+    const message = {role: 'assistant', content: this.text, refusal: null};
     const choice = {index: 0, message, finish_reason: finish, logprobs: null};
-    this.res.end(
+    res.end(
       JSON.stringify({
         ...this.head,
         object: 'chat.completion',
@@ -74,7 +52,7 @@
   }
 
   onRefused(refusal: Refusal): void {
-    sendProblem(this.res, refusal, this.request);
+    this.refusals.refuse(this.exchange, refusal);
     this.ended();
   }
 }
@@ -84,13 +62,17 @@
   private hasStarted = false;
   private tokens = 0;
 
+  private readonly res: ServerResponse;
+
   constructor(
-    private readonly res: ServerResponse,
-    private readonly request: RequestId,
+    private readonly exchange: Exchange,
     private readonly head: ChatHead,
     private readonly includesUsage: boolean,
+    private readonly refusals: RefusalSender,
     private readonly ended: () => void,
-  ) {}
+  ) {
+    this.res = exchange.res;
+  }
 
   onToken(text: string): void {
     this.tokens++;
@@ -113,12 +95,12 @@
    */
   onRefused(refusal: Refusal): void {
     if (!this.hasStarted) {
-      sendProblem(this.res, refusal, this.request);
+      this.refusals.refuse(this.exchange, refusal);
       return this.ended();
     }
-    const problem = toProblemDocument(refusal, this.request);
-    const {title} = refusalData(refusal.reason);
-    const error = {...problem, message: title, code: refusal.reason};
+    this.refusals.note(this.exchange, refusal);
+    const problem = toProblemBody(refusal, this.exchange.request);
+    const error = {...problem, ...problem.error};
     const event = `data: ${JSON.stringify({error})}\n\n`;
     this.res.write(event, () => this.res.destroy());
     this.ended();
@@ -129,9 +111,12 @@
     const choice = {
       index: 0,
       delta: {...role, ...delta},
+      logprobs: null,
       finish_reason: finish,
     };
-    this.sendEvent({...this.chunkHead(), choices: [choice]});
+    // Clients that ask for usage expect the field in every chunk.
+    const usage = this.includesUsage ? {usage: null} : {};
+    this.sendEvent({...this.chunkHead(), choices: [choice], ...usage});
   }
 
   private chunkHead(): object {
--- a/packages/azurecrank/src/core/gateway/gateway.ts
+++ b/packages/azurecrank/src/core/gateway/gateway.ts
@@ -1,17 +1,5 @@
-/** The HTTP side of an entry: callers' requests in, answers out. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  RANKS,
-  createRequestId,
-  isRank,
-  rankIndex,
-  refuse,
-  type InstanceId,
-  type Metrics,
-  type Rank,
-  type Refusal,
-  type RefusalReason,
-} from '@azurecrank/core';
+/** Chat completions and models for callers (OpenAI-compatible). */
+import {refuse} from '@azurecrank/core';
 import type {Polka} from 'polka';
 import {
   Generation,
@@ -30,182 +18,167 @@
   StreamingChatSink,
   WholeChatSink,
   createChatHead,
-  sendProblem,
 } from './chat_response.js';
-import {readBody} from './http_body.js';
+import type {Exchange} from './exchange.js';
+import type {RefusalSender} from './refusal_sender.js';
+import type {RequestGate} from './request_gate.js';
+import type {ServiceLimits} from './request_headers.js';
 
 export interface GatewayOptions {
-  readonly instance: InstanceId;
+  readonly gate: RequestGate;
+  readonly refusals: RefusalSender;
   readonly directory: CallerDirectory;
   readonly generations: GenerationTable;
   readonly generation: GenerationDependencies;
-  readonly metrics: Metrics;
-  readonly maxBodyBytes: number;
-  readonly maxRequests: number;
-  /** Reason for which new requests are refused, if there is one. */
-  readonly unavailable: () => RefusalReason | undefined;
 }
 
-const RANK_HEADER = 'azurecrank-rank';
-const DEADLINE_HEADER = 'azurecrank-deadline-ms';
-
 export class Gateway {
   constructor(private readonly options: GatewayOptions) {}
 
   addRoutes(app: Polka): void {
-    app.get('/v1/models', (req, res) => this.listModels(req, res));
-    app.post('/v1/chat/completions', (req, res) => {
-      void this.complete(req, res);
+    const {gate} = this.options;
+    app.get('/v1/models', (req, res) =>
+      gate.handle(req, res, exchange => this.listModels(exchange)),
+    );
+    app.get('/v1/models/:id', (req, res) => {
+      const id = decodeName(String(req.params.id));
+      gate.handle(req, res, exchange => this.showModel(exchange, id));
     });
+    app.post('/v1/chat/completions', (req, res) =>
+      gate.handle(req, res, exchange => this.complete(exchange)),
+    );
   }
 
-  /** Refuses with a problem document and counts the reason. */
-  refuse(res: ServerResponse, refusal: Refusal): void {
-    this.count(refusal);
-    sendProblem(res, refusal, '');
-  }
-
-  count({reason}: Refusal): void {
-    this.options.metrics.increment('azurecrank_refusals_total', {reason});
-  }
-
-  /** Returns the caller, or answers with a refusal. */
-  authenticate(req: IncomingMessage, res: ServerResponse): Caller | undefined {
-    const reason = this.options.unavailable();
-    if (reason) {
-      this.refuse(res, refuse(reason, 'accept'));
-      return undefined;
-    }
-    const bearerKey = /^Bearer (.+)$/i.exec(req.headers.authorization ?? '');
-    const caller =
-      bearerKey && this.options.directory.findCaller(bearerKey[1].trim());
-    if (!caller) this.refuse(res, refuse('unauthorized', 'accept'));
-    return caller ?? undefined;
-  }
-
-  private listModels(req: IncomingMessage, res: ServerResponse): void {
-    const caller = this.authenticate(req, res);
+  private listModels(exchange: Exchange): void {
+    const caller = this.options.gate.authenticate(exchange);
     if (!caller) return;
     const {directory} = this.options;
     const data = directory
       .modelServices()
       .filter(({service}) => directory.mayUse(caller, service))
-      .map(({service}) => ({
-        id: service,
-        object: 'model',
-        created: 0,
-        owned_by: 'azurecrank',
-      }));
-    res.setHeader('content-type', 'application/json');
-    res.end(JSON.stringify({object: 'list', data}));
+      .map(toModelObject);
+    sendJson(exchange, {object: 'list', data});
   }
 
-  private async complete(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const caller = this.authenticate(req, res);
-    if (!caller) return;
-    if (this.options.generations.size >= this.options.maxRequests) {
-      return this.refuse(res, refuse('queue_full', 'accept'));
-    }
-    const body = await readBody(req, this.options.maxBodyBytes);
-    if (!body) return this.refuse(res, refuse('body_too_large', 'accept'));
+  private showModel(exchange: Exchange, id: string): void {
+    const caller = this.options.gate.authenticate(exchange);
+    const service = caller && this.findService(exchange, caller, id);
+    if (service) sendJson(exchange, toModelObject(service));
+  }
+
+  private async complete(exchange: Exchange): Promise<void> {
+    const {gate} = this.options;
+    const caller = gate.authenticate(exchange);
+    if (!caller || !gate.admit(exchange, 'chat')) return;
+    const body = await gate.readBody(exchange);
+    if (!body) return;
     const parsed = parseChatRequest(body);
     if (parsed.kind === 'invalid') {
-      const {detail} = parsed;
-      return this.refuse(res, refuse('invalid_request', 'accept', {detail}));
+      return gate.refuse(exchange, 'invalid_request', {detail: parsed.detail});
     }
     const {chat} = parsed;
-    const service = this.options.directory.findModelService(chat.service);
+    const service = this.findService(exchange, caller, chat.service);
+    const limits = service && gate.readHeaders(exchange, service);
+    if (limits) this.generate(exchange, caller, {...service, ...limits}, chat);
+  }
+
+  /** Returns a model service the caller may use, or answers a refusal. */
+  private findService(
+    exchange: Exchange,
+    caller: Caller,
+    name: string,
+  ): ModelService | undefined {
+    const {gate, directory} = this.options;
+    const service = directory.findModelService(name);
     if (!service) {
-      const detail = `no service named ${chat.service}`;
-      return this.refuse(res, refuse('unknown_model', 'accept', {detail}));
-    }
-    if (!this.options.directory.mayUse(caller, service.service)) {
-      return this.refuse(res, refuse('forbidden_service', 'accept'));
+      const detail = `no service named ${name}`;
+      gate.refuse(exchange, 'unknown_model', {detail});
+      return undefined;
     }
-    this.generate(req, res, caller, service, chat);
+    exchange.service = service.service;
+    if (directory.mayUse(caller, service.service)) return service;
+    gate.refuse(exchange, 'forbidden_service');
+    return undefined;
   }
 
   private generate(
-    req: IncomingMessage,
-    res: ServerResponse,
+    exchange: Exchange,
     caller: Caller,
-    service: ModelService,
+    service: ModelService & ServiceLimits,
     chat: ChatRequest,
   ): void {
-    const spec = this.toGenerationRequest(req, caller, service, chat);
-    const {request} = spec;
-    const {generations} = this.options;
+    const {generations, refusals} = this.options;
+    const {request, res} = exchange;
     const ended = () => generations.remove(request);
-    const head = createChatHead(request, chat.service);
-    const sink = this.countRefusals(
-      chat.isStreaming
-        ? new StreamingChatSink(res, request, head, chat.includesUsage, ended)
-        : new WholeChatSink(res, request, head, ended),
-    );
+    const spec = toGenerationRequest(exchange, caller, service, chat);
+    const sink = this.createSink(exchange, chat, ended);
     const generation = new Generation(spec, sink, this.options.generation);
     generations.add(generation);
-    res.setHeader('azurecrank-request-id', request);
-    res.once('close', () => {
+    const leave = () => {
       if (generation.isEnded) return;
-      const reason = 'caller_left';
-      this.options.metrics.increment('azurecrank_refusals_total', {reason});
+      refusals.note(
+        exchange,
+        refuse('caller_left', 'respond', {ran: 'unknown'}),
+      );
       generation.cancel();
       ended();
-    });
+    };
+    res.once('close', leave);
+    // The caller may have left while the body was read.
+    if (res.destroyed) return leave();
     generation.start();
   }
 
-  private toGenerationRequest(
-    req: IncomingMessage,
-    caller: Caller,
-    service: ModelService,
+  private createSink(
+    exchange: Exchange,
     chat: ChatRequest,
-  ): GenerationRequest {
-    const nowMs = performance.now();
-    const deadlineMs = readDeadlineMs(req, service.deadlineMs);
-    return {
-      request: createRequestId(this.options.instance),
-      workspace: caller.workspace,
-      weight: caller.weight,
-      rank: readRank(req, service.rank),
-      service: service.service,
-      model: service.model,
-      prompt: chat.prompt,
-      maxTokens: chat.maxTokens,
-      deadlineAtMs: nowMs + deadlineMs,
-      firstTokenDeadlineAtMs:
-        nowMs + Math.min(service.firstTokenDeadlineMs, deadlineMs),
-    };
+    ended: () => void,
+  ): GenerationSink {
+    const {refusals} = this.options;
+    const {service, isStreaming, includesUsage} = chat;
+    const head = createChatHead(exchange.request, service);
+    return isStreaming
+      ? new StreamingChatSink(exchange, head, includesUsage, refusals, ended)
+      : new WholeChatSink(exchange, head, refusals, ended);
   }
+}
 
-  private countRefusals(sink: GenerationSink): GenerationSink {
-    return {
-      onToken: text => sink.onToken(text),
-      onEnd: (finish, promptTokens) => sink.onEnd(finish, promptTokens),
-      onRefused: refusal => {
-        this.count(refusal);
-        sink.onRefused(refusal);
-      },
-    };
-  }
+function toGenerationRequest(
+  {request}: Exchange,
+  {workspace, weight}: Caller,
+  service: ModelService,
+  {prompt, maxTokens}: ChatRequest,
+): GenerationRequest {
+  const nowMs = performance.now();
+  const {deadlineMs, firstTokenDeadlineMs} = service;
+  return {
+    request,
+    workspace,
+    weight,
+    rank: service.rank,
+    service: service.service,
+    model: service.model,
+    prompt,
+    maxTokens,
+    deadlineAtMs: nowMs + deadlineMs,
+    firstTokenDeadlineAtMs: nowMs + Math.min(firstTokenDeadlineMs, deadlineMs),
+  };
+}
+
+function toModelObject({service}: ModelService) {
+  return {id: service, object: 'model', created: 0, owned_by: 'azurecrank'};
 }
 
-/** A caller may ask for a lower rank than the service's, not a higher one. */
-export function readRank(req: IncomingMessage, serviceRank: Rank): Rank {
-  const asked = req.headers[RANK_HEADER];
-  if (!isRank(asked)) return serviceRank;
-  return RANKS[Math.max(rankIndex(asked), rankIndex(serviceRank))];
+function sendJson({res}: Exchange, body: object): void {
+  res.setHeader('content-type', 'application/json');
+  res.end(JSON.stringify(body));
 }
 
-/** A caller may shorten the service's deadline. */
-export function readDeadlineMs(
-  req: IncomingMessage,
-  serviceDeadlineMs: number,
-): number {
-  const asked = Number(req.headers[DEADLINE_HEADER]);
-  const isUsable = Number.isFinite(asked) && asked > 0;
-  return isUsable ? Math.min(asked, serviceDeadlineMs) : serviceDeadlineMs;
+/** A name with a broken escape is unknown and not a fault of this process. */
+function decodeName(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
 }
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -11,11 +11,11 @@
   toId,
   type Hello,
   Logger,
+  METRICS,
   Metrics,
   PeerNode,
-  REFUSALS,
-  RETRY_REASONS,
   createInstanceId,
+  declareProcessMetrics,
   loadChartDefinition,
   toSilenceOptions,
   type ChartEvent,
@@ -29,9 +29,12 @@
 import {PeerCallTransport} from '../calls/peer_call_transport.js';
 import {RouterCallBudget} from '../calls/router_call_budget.js';
 import {CallGateway} from '../gateway/call_gateway.js';
-import type {CallerDirectory} from '../gateway/caller_directory.js';
+import {answerClientErrors} from '../gateway/client_errors.js';
 import {ConfigDirectory} from '../gateway/config_directory.js';
 import {Gateway} from '../gateway/gateway.js';
+import {refuseOtherPath} from '../gateway/other_paths.js';
+import {RefusalSender} from '../gateway/refusal_sender.js';
+import {RequestGate} from '../gateway/request_gate.js';
 import {GenerationTable} from '../generation/generation_table.js';
 import {LeaseHolder} from '../placement/lease_holder.js';
 import {PlacementRunner} from '../placement/placement_runner.js';
@@ -41,6 +44,9 @@
 const DRAIN_CHECK_MS = 50;
 const PLACEMENT_PERIOD_MS = 1000;
 const RECONNECT_PERIOD_MS = 2000;
+/** Period of the log line of a process that cannot start to serve. */
+const WAITING_LOG_MS = 2000;
+
 const PLAN_WAIT_MS = 5000;
 const PLAN_CHECK_MS = 20;
 
@@ -61,13 +67,13 @@
     {},
   );
   private readonly callTransport: PeerCallTransport;
-  private calls: CallGateway | undefined;
+  private gate: RequestGate | undefined;
   private isAccepting = true;
 
   constructor(private readonly settings: EntrySettings) {
     const {node, availabilityZone, logLevel} = settings;
     this.logger = new Logger(node, logLevel);
-    this.declareCounters();
+    declareProcessMetrics(this.metrics, 'entry');
     this.keyValue = this.store.add(
       new HttpKeyValueService(settings.keyValueUrl),
     );
@@ -126,30 +132,9 @@
     const {address, peerPort, httpPort} = this.settings;
     const {advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
-    const {maxBodyBytes, maxRequests} = this.settings;
-    const directory = new ConfigDirectory(() => this.documents.config);
-    const gateway = new Gateway({
-      instance: this.instance,
-      directory,
-      generations: this.generations,
-      generation: {
-        transport: new PeerTransport(this.peers),
-        policy: this.router,
-        metrics: this.metrics,
-        logger: this.logger,
-      },
-      metrics: this.metrics,
-      maxBodyBytes,
-      maxRequests,
-      unavailable: () => {
-        if (this.lifecycle.state === 'starting') return 'starting';
-        return this.isAccepting ? undefined : 'leaving';
-      },
-    });
-    gateway.addRoutes(this.health.app);
-    this.calls = this.createCallGateway(gateway, directory);
-    this.calls.addRoutes(this.health.app);
+    this.addRoutes();
     const port = await this.health.listen(address, httpPort);
+    this.logger.info('listening', {peer: this.peers.address, httpPort: port});
     await this.follow();
     this.lifecycle.send({type: 'configured'});
     this.logger.info('ready', {peer: this.peers.address});
@@ -177,7 +162,7 @@
   }
 
   private isIdle(): boolean {
-    return this.generations.size === 0 && (this.calls?.inFlight ?? 0) === 0;
+    return (this.gate?.inFlight ?? 0) === 0;
   }
 
   [Symbol.dispose](): void {
@@ -209,7 +194,12 @@
     });
     this.store.add(placement).start();
     this.store.interval(() => this.connectHeads(), RECONNECT_PERIOD_MS);
+    const reminder = setInterval(
+      () => this.logger.warn('waits for a configuration', {keyValueUrl}),
+      WAITING_LOG_MS,
+    );
     await this.documents.whenConfigured();
+    clearInterval(reminder);
     await this.waitForPlan();
   }
 
@@ -243,40 +233,46 @@
     if (server) this.router.membership.noteHello(server, instance);
   }
 
-  private createCallGateway(
-    gateway: Gateway,
-    directory: CallerDirectory,
-  ): CallGateway {
-    const {router, metrics, instance} = this;
-    const {maxBodyBytes} = this.settings;
-    return new CallGateway({
-      instance,
-      gateway,
+  /** Serves callers; refuses with `starting` until there is a configuration. */
+  private addRoutes(): void {
+    const {health, metrics, logger, router} = this;
+    const directory = new ConfigDirectory(() => this.documents.config);
+    const refusals = new RefusalSender(metrics, logger);
+    const gate = new RequestGate({
+      ...this.settings,
+      instance: this.instance,
       directory,
+      metrics,
+      refusals,
+      unavailable: () => {
+        if (this.lifecycle.state === 'starting') return 'starting';
+        return this.isAccepting ? undefined : 'leaving';
+      },
+    });
+    this.gate = gate;
+    const {help} = METRICS.azurecrank_requests_in_flight;
+    metrics.gauge('azurecrank_requests_in_flight', help, () => gate.inFlight);
+    const generation = {
+      transport: new PeerTransport(this.peers),
+      policy: router,
+      metrics,
+      logger,
+    };
+    const {generations} = this;
+    const common = {gate, refusals, directory};
+    new Gateway({...common, generations, generation}).addRoutes(health.app);
+    new CallGateway({
+      ...common,
       dispatcher: new CallDispatcher(
         this.callTransport,
         new RouterCallBudget(router),
         metrics,
       ),
-      maxBodyBytes,
       servers: service =>
         router.membership.usableServers(this.documents.plan, service),
-    });
-  }
-
-  private declareCounters(): void {
-    this.metrics.declareCounter(
-      'azurecrank_refusals_total',
-      'Requests refused, by reason',
-      'reason',
-      Object.keys(REFUSALS),
-    );
-    this.metrics.declareCounter(
-      'azurecrank_retries_total',
-      'Messages or requests sent again, by reason',
-      'reason',
-      RETRY_REASONS,
-    );
+    }).addRoutes(health.app);
+    health.answerOther = (req, res) => refuseOtherPath(gate, req, res);
+    health.prepare = server => answerClientErrors(server, metrics, logger);
   }
 
   private receive(message: Message, link: PeerLink): void {
--- a/packages/core/src/core/claims/claim_store.ts
+++ b/packages/core/src/core/claims/claim_store.ts
@@ -11,6 +11,7 @@
 import {randomBytes} from 'node:crypto';
 import type {InstanceId, ServiceId, WorkspaceId} from '../ids/ids.js';
 import type {KeyValueService} from '../platform/key_value_service.js';
+import {METRICS} from '../telemetry/metric_catalog.js';
 import type {Metrics} from '../telemetry/metrics.js';
 import {RETRY_REASONS} from '../errors/retry_reasons.js';
 import type {ClaimOutcome} from './claim.js';
@@ -104,13 +105,13 @@
     this.options = {...DEFAULT_CLAIM_STORE_OPTIONS, ...options};
     metrics.declareCounter(
       RETRIES_COUNTER,
-      'Retries by reason',
+      METRICS[RETRIES_COUNTER].help,
       'reason',
       RETRY_REASONS,
     );
     metrics.declareCounter(
       CLAIM_WRITES_COUNTER,
-      'Writes of claim pages by outcome',
+      METRICS[CLAIM_WRITES_COUNTER].help,
       'outcome',
       ['written', 'conflict', 'unknown'],
     );
--- a/packages/core/src/core/configuration/document_metrics.ts
+++ b/packages/core/src/core/configuration/document_metrics.ts
@@ -1,4 +1,5 @@
 /** Gauges of the versions a process holds and of the offers it refused. */
+import {METRICS} from '../telemetry/metric_catalog.js';
 import type {Metrics} from '../telemetry/metrics.js';
 import {
   DOCUMENT_KINDS,
@@ -20,13 +21,13 @@
   for (const what of DOCUMENT_KINDS) {
     metrics.gauge(
       'azurecrank_document_version',
-      'Held version of the configuration and the plan',
+      METRICS.azurecrank_document_version.help,
       () => follower.version(what),
       {what},
     );
     metrics.gauge(
       'azurecrank_document_confirmed_age_ms',
-      'Time since the key-value service confirmed the held version, or -1',
+      METRICS.azurecrank_document_confirmed_age_ms.help,
       () => finiteOr(follower.confirmedAgeMs(what, nowMs()), -1),
       {what},
     );
@@ -34,18 +35,18 @@
   for (const outcome of REFUSED) {
     metrics.gauge(
       'azurecrank_documents_refused',
-      'Offered documents that were not taken',
+      METRICS.azurecrank_documents_refused.help,
       () => follower.count(outcome),
       {outcome},
     );
   }
   metrics.declareCounter(
     'azurecrank_config_unreadable_total',
-    'Accepted configurations that this release cannot read',
+    METRICS.azurecrank_config_unreadable_total.help,
   );
   metrics.declareCounter(
     'azurecrank_document_reads_total',
-    'Reads of configuration and plan from the key-value service',
+    METRICS.azurecrank_document_reads_total.help,
   );
 }
 
--- a/packages/core/src/core/errors/errors_data.ts
+++ b/packages/core/src/core/errors/errors_data.ts
@@ -38,6 +38,21 @@
     title: 'No such plain service',
     hint: 'Check the path after /services/.',
   },
+  unknown_path: {
+    status: 404,
+    title: 'There is nothing at this path',
+    hint: 'Use /v1/chat/completions, /v1/models or /services/SERVICE/PATH.',
+  },
+  method_not_allowed: {
+    status: 405,
+    title: 'The path does not take this method',
+    hint: 'Use a method that the header `allow` lists.',
+  },
+  request_timeout: {
+    status: 408,
+    title: 'The request body did not arrive in time',
+    hint: 'Send the body at once, or raise body_timeout_ms in the settings.',
+  },
   claim_in_progress: {
     status: 409,
     title: 'A call with this idempotency key is running',
@@ -47,7 +62,7 @@
   body_too_large: {
     status: 413,
     title: 'The request body is too large',
-    hint: 'Send less, or raise maxBodyBytes in the settings.',
+    hint: 'Send less, or raise max_body_bytes in the settings.',
   },
   key_reused: {
     status: 422,
@@ -136,7 +151,7 @@
   claim_page_full: {
     status: 503,
     title: 'The claim page of this key is full',
-    hint: 'Raise claimPages or lower claimRetentionMs.',
+    hint: 'Raise claim_pages or lower claim_retention_ms.',
     retryAfterS: 60,
   },
   retry_budget_exhausted: {
--- a/packages/core/src/core/lifecycle/health_server.ts
+++ b/packages/core/src/core/lifecycle/health_server.ts
@@ -1,6 +1,12 @@
 /** HTTP server with liveness, readiness and metrics for the platform. */
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import polka, {type Polka, type Request} from 'polka';
+import {listenOn} from './listen_on.js';
 import type {Metrics} from '../telemetry/metrics.js';
 
 export interface HealthSource {
@@ -10,7 +16,16 @@
 
 export class HealthServer implements Disposable {
   /** Routes may be added before `listen`. */
-  readonly app: Polka = polka();
+  readonly app: Polka = polka({
+    onNoMatch: (req, res) => this.answerOther(req, res),
+  });
+  /** Answers a path or method without a route. */
+  answerOther = (_: IncomingMessage, res: ServerResponse): void => {
+    res.statusCode = 404;
+    res.end('there is nothing at this path\n');
+  };
+  /** Called with the server before it listens, for limits and handlers. */
+  prepare: ((server: Server) => void) | undefined;
   private server: Server | undefined;
 
   constructor(source: HealthSource) {
@@ -34,10 +49,8 @@
       this.app.handler(req as Request, res);
     });
     this.server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
+    this.prepare?.(server);
+    await listenOn(server, host, port, 'http_port');
     const bound = server.address();
     return typeof bound === 'object' && bound ? bound.port : port;
   }
--- a/packages/core/src/core/settings/process_settings.ts
+++ b/packages/core/src/core/settings/process_settings.ts
@@ -44,7 +44,10 @@
   httpPort: port.default(0),
   /** Time after a stop signal during which requests are still accepted. */
   balancerGraceMs: z.number().int().min(0).default(1000),
+  /** Largest request body; larger ones are refused. */
   maxBodyBytes: z.number().int().positive().default(4_000_000),
+  /** Longest time a caller may take to send its request body. */
+  bodyTimeoutMs: positiveMs.default(30_000),
   /** Chains of each model among which this process chooses. */
   chainSubsetSize: z.number().int().positive().default(12),
   /** Lease of the process that computes the plan. */
@@ -55,7 +58,7 @@
 
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
 
-export const sideSettingsSchema = z.strictObject({
+const sideSettings = z.strictObject({
   ...common,
   /** Name of the backend server beside this process. */
   server: z.string().min(1),
@@ -88,6 +91,26 @@
   claimBodyBytes: z.number().int().min(0).default(4096),
 });
 
+/** A process beside nothing would register a server that can do no work. */
+export const sideSettingsSchema = sideSettings.superRefine(
+  ({engineUrl, serviceUrl, service}, context) => {
+    const report = (key: string, message: string) =>
+      context.addIssue({code: 'custom', path: [key], message});
+    if (!engineUrl && !serviceUrl) {
+      report(
+        'engineUrl',
+        'missing; set engine_url, or service_url and service',
+      );
+    }
+    if (serviceUrl && service === undefined) {
+      report('service', 'missing; service_url needs the name of the service');
+    }
+    if (service !== undefined && !serviceUrl) {
+      report('serviceUrl', 'missing; service needs the URL of the service');
+    }
+  },
+);
+
 export type SideSettings = z.infer<typeof sideSettingsSchema>;
 
 /** Returns the detection periods of a process. */
--- a/packages/core/src/core/settings/read_settings.ts
+++ b/packages/core/src/core/settings/read_settings.ts
@@ -2,6 +2,13 @@
 import {readFileSync} from 'node:fs';
 import {parse, TomlError} from 'smol-toml';
 import type {z} from 'zod';
+import {KeyLines} from '../configuration/key_lines.js';
+import {
+  convertToUnit,
+  hintForName,
+  keyInOtherUnit,
+  unitOfKey,
+} from '../configuration/suggestions.js';
 
 /** One complaint about a settings file. */
 export interface SettingsProblem {
@@ -9,6 +16,8 @@
   /** Dotted key as it stands in the file; empty for the whole file. */
   readonly key: string;
   readonly message: string;
+  /** Counted from 1; absent for a key or file that is missing. */
+  readonly line?: number;
 }
 
 export class SettingsError extends Error {
@@ -18,17 +27,32 @@
   }
 }
 
-function formatProblem(problem: SettingsProblem): string {
-  const where = problem.key ? `${problem.file}: ${problem.key}` : problem.file;
-  return `${where}: ${problem.message}`;
+function formatProblem({file, line, key, message}: SettingsProblem): string {
+  const where = line === undefined ? file : `${file}:${line}`;
+  return key ? `${where}: ${key}: ${message}` : `${where}: ${message}`;
 }
 
+const READ_CAUSES: Readonly<Record<string, string>> = {
+  ENOENT: 'there is no such file',
+  EACCES: 'this user may not read it',
+  EISDIR: 'it is a directory',
+};
+
 /**
  * Keys are written in snake_case in files and in camelCase in code.
- * @throws SettingsError naming the file and each bad key.
+ * @throws SettingsError naming the file, the line and each bad key.
  */
 export function readSettings<T>(file: string, schema: z.ZodType<T>): T {
-  return parseSettings(readFileSync(file, 'utf8'), file, schema);
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const {code = '', message} = error as NodeJS.ErrnoException;
+    const cause = READ_CAUSES[code] ?? message;
+    const problem = {file, key: '', message: `cannot be read: ${cause}`};
+    throw new SettingsError([problem]);
+  }
+  return parseSettings(text, file, schema);
 }
 
 export function parseSettings<T>(
@@ -36,31 +60,89 @@
   file: string,
   schema: z.ZodType<T>,
 ): T {
-  let raw: unknown;
+  let raw: Record<string, unknown>;
   try {
     raw = parse(text);
   } catch (error) {
     if (!(error instanceof TomlError)) throw error;
-    const message = `line ${error.line}: ${error.message.split('\n')[0]}`;
-    throw new SettingsError([{file, key: '', message}]);
+    const [first] = error.message.split('\n');
+    const message = first.replace('Invalid TOML document: ', 'syntax error: ');
+    throw new SettingsError([{file, line: error.line, key: '', message}]);
   }
   const result = schema.safeParse(toCamelCase(raw));
   if (result.success) return result.data;
+  const lines = new KeyLines(text);
+  const known = knownKeys(schema);
   throw new SettingsError(
-    result.error.issues.flatMap(issue => toProblems(file, issue)),
+    result.error.issues.flatMap(issue =>
+      toProblems(issue, raw, known).map(({key, message}) => {
+        const [top] = key.split('.');
+        const isPresent = Object.hasOwn(raw, top);
+        const line = isPresent ? lines.lineOf([top]) : undefined;
+        return {file, line, key, message};
+      }),
+    ),
   );
 }
 
-function toProblems(file: string, issue: z.core.$ZodIssue): SettingsProblem[] {
+type Complaint = Pick<SettingsProblem, 'key' | 'message'>;
+
+function toProblems(
+  issue: z.core.$ZodIssue,
+  raw: Record<string, unknown>,
+  known: readonly string[],
+): Complaint[] {
   const path = issue.path.map(part => snakeCase(String(part)));
-  if (issue.code !== 'unrecognized_keys') {
-    return [{file, key: path.join('.'), message: issue.message}];
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(name => {
+      const key = snakeCase(name);
+      const other = keyInOtherUnit(key, raw[key], known);
+      const hint = other
+        ? `did you mean "${toAssignment(other)}"?`
+        : hintForName(key, known);
+      return {key, message: `unknown key; ${hint}`};
+    });
+  }
+  const key = path.join('.');
+  if (issue.code === 'custom') return [{key, message: issue.message}];
+  if (!Object.hasOwn(raw, path[0])) {
+    return [{key, message: `missing; ${expectation(key, issue)}`}];
   }
-  return issue.keys.map(key => ({
-    file,
-    key: [...path, snakeCase(key)].join('.'),
-    message: 'unknown key',
-  }));
+  const given = raw[path[0]];
+  const converted =
+    typeof given === 'string' ? convertToUnit(key, given) : undefined;
+  const hint = converted === undefined ? '' : `; write ${converted}`;
+  const got = `got ${JSON.stringify(given)}`;
+  return [{key, message: `${expectation(key, issue)}; ${got}${hint}`}];
+}
+
+/** Says what would be valid, with the unit if the key names one. */
+function expectation(key: string, issue: z.core.$ZodIssue): string {
+  if (issue.code === 'invalid_format') {
+    return issue.format === 'url'
+      ? 'expected a URL, for example "http://10.0.0.5:7000"'
+      : 'expected "IP:PORT", for example "10.0.0.5:7100"';
+  }
+  const unit = unitOfKey(key);
+  const isNumber =
+    issue.code === 'invalid_type' && /number|int/.test(issue.expected);
+  if (unit && isNumber) {
+    return `expected a whole number of ${unit.name}, for example ${EXAMPLE}`;
+  }
+  const text = issue.message.replace('Invalid input: ', '');
+  return text.replace(/, received .*$/, '');
+}
+
+const EXAMPLE = 1000;
+
+function toAssignment(found: {key: string; value?: number}): string {
+  const {key, value} = found;
+  return value === undefined ? key : `${key} = ${value}`;
+}
+
+function knownKeys(schema: z.ZodType): string[] {
+  const {shape = {}} = schema as {shape?: Record<string, unknown>};
+  return Object.keys(shape).map(snakeCase);
 }
 
 function toCamelCase(value: unknown): unknown {
--- a/packages/core/src/core/telemetry/metrics.ts
+++ b/packages/core/src/core/telemetry/metrics.ts
@@ -35,7 +35,15 @@
   ): void {
     const family = ensure(this.counters, name, help);
     if (!label) return;
-    for (const value of values) family.series.set(key({[label]: value}), 0);
+    for (const value of values) {
+      const seriesKey = key({[label]: value});
+      if (!family.series.has(seriesKey)) family.series.set(seriesKey, 0);
+    }
+  }
+
+  /** Declares a summary, so that its help text is shown. */
+  declareTiming(name: string, help: string): void {
+    ensure(this.timings, name, help);
   }
 
   increment(name: string, labels: Labels = {}, by = 1): void {
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -9,6 +9,7 @@
   SilenceOptions,
 } from '../detection/silence_detector.js';
 import type {ConfigVersion, PeerAddress, PlanVersion} from '../ids/ids.js';
+import {listenOn} from '../lifecycle/listen_on.js';
 import {PauseMonitor} from '../lifecycle/pause_monitor.js';
 import type {Hello, Message} from './messages.js';
 import {PeerConnection} from './peer_connection.js';
@@ -78,10 +79,7 @@
   ): Promise<PeerAddress> {
     const server = createServer(socket => this.accept(socket));
     this.server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
+    await listenOn(server, host, port, 'peer_port');
     const bound = server.address();
     const boundPort = typeof bound === 'object' && bound ? bound.port : port;
     this.boundAddress = `${host}:${boundPort}` as PeerAddress;
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -1,5 +1,6 @@
 /** The part of a side process that serves a model engine. */
 import {
+  METRICS,
   DisposableStore,
   HttpEngine,
   HttpWeightStore,
@@ -8,6 +9,7 @@
   type LoadReport,
   type Logger,
   type Message,
+  type MetricName,
   type Metrics,
   type PeerAddress,
   type PeerLink,
@@ -34,6 +36,11 @@
   readonly wasPaused: (windowMs: number) => boolean;
 }
 
+const ENGINE_RETRY_MS = 500;
+
+/** One in so many failed tries is logged. */
+const LOGGED_ATTEMPTS = 10;
+
 const ORPHAN_SWEEP_MS = 1000;
 
 /** Period of the reports to the entries that follow this head. */
@@ -77,10 +84,22 @@
     return this.stage.size === 0 && this.head.runningRequests === 0;
   }
 
+  /** Waits for an engine that starts later than this process. */
   async start(): Promise<EngineInfo> {
-    const info = await this.engine.info();
-    this.takeInfo(info);
-    return info;
+    const {logger, engineUrl} = this.options;
+    for (let attempt = 0; ; attempt++) {
+      try {
+        const info = await this.engine.info();
+        this.takeInfo(info);
+        return info;
+      } catch (error) {
+        if (attempt % LOGGED_ATTEMPTS === 0) {
+          const fields = {engineUrl, cause: String(error)};
+          logger.warn('engine gives no answer; tries again', fields);
+        }
+      }
+      await new Promise(resolve => setTimeout(resolve, ENGINE_RETRY_MS));
+    }
   }
 
   /** Compares engine and plan from now on. */
@@ -168,14 +187,10 @@
 
   private addGauges(): void {
     const {metrics} = this.options;
-    metrics.gauge('azurecrank_sequences', 'Sequences with a cache here', () => {
-      return this.stage.size;
-    });
-    metrics.gauge('azurecrank_waiting_requests', 'Requests that wait', () => {
-      return this.head.waitingRequests;
-    });
-    metrics.gauge('azurecrank_activation_log_bytes', 'Kept outputs', () => {
-      return this.stage.logBytes;
-    });
+    const add = (name: MetricName, read: () => number) =>
+      metrics.gauge(name, METRICS[name].help, read);
+    add('azurecrank_sequences', () => this.stage.size);
+    add('azurecrank_waiting_requests', () => this.head.waitingRequests);
+    add('azurecrank_activation_log_bytes', () => this.stage.logBytes);
   }
 }
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -11,6 +11,7 @@
   PauseMonitor,
   PeerNode,
   createInstanceId,
+  declareProcessMetrics,
   loadChartDefinition,
   toId,
   toSilenceOptions,
@@ -51,6 +52,7 @@
   constructor(private readonly settings: SideSettings) {
     const {node, logLevel} = settings;
     this.logger = new Logger(node, logLevel);
+    declareProcessMetrics(this.metrics, 'side');
     this.keyValue = this.store.add(
       new HttpKeyValueService(settings.keyValueUrl),
     );
@@ -81,11 +83,13 @@
     const {address, peerPort, httpPort, advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
+    this.logger.info('listening', {peer: this.peers.address, httpPort: port});
     const engine = await this.startModel();
     this.startService();
     const registration = await registerServer(
       this.keyValue,
       this.draftRegistration('live', engine),
+      this.logger,
     );
     this.model?.followPlan(registration);
     for (const peer of this.settings.seedPeers) {
--- a/packages/side/src/core/registration/registration.ts
+++ b/packages/side/src/core/registration/registration.ts
@@ -2,6 +2,7 @@
 import {
   SERVERS_PREFIX,
   type KeyValueService,
+  type Logger,
   type ServerRegistration,
 } from '@azurecrank/core';
 
@@ -9,6 +10,9 @@
 
 const RETRY_MS = 500;
 
+/** One in so many failed tries is logged. */
+const LOGGED_ATTEMPTS = 10;
+
 /**
  * Writes the registration with an epoch above that of every earlier side
  * process of this server; retries until the key-value service takes it.
@@ -16,20 +20,28 @@
 export async function registerServer(
   keyValue: KeyValueService,
   draft: RegistrationDraft,
+  logger?: Logger,
 ): Promise<ServerRegistration> {
   const key = SERVERS_PREFIX + draft.server;
-  for (;;) {
-    const registration = await tryRegister(keyValue, key, draft);
-    if (registration) return registration;
+  for (let attempt = 0; ; attempt++) {
+    const result = await tryRegister(keyValue, key, draft);
+    if (typeof result !== 'string') return result;
+    if (attempt % LOGGED_ATTEMPTS === 0) {
+      logger?.warn('server could not be registered; tries again', {
+        server: draft.server,
+        cause: result,
+      });
+    }
     await new Promise(resolve => setTimeout(resolve, RETRY_MS));
   }
 }
 
+/** Returns the cause of a failure as text. */
 async function tryRegister(
   keyValue: KeyValueService,
   key: string,
   draft: RegistrationDraft,
-): Promise<ServerRegistration | undefined> {
+): Promise<ServerRegistration | string> {
   try {
     const entry = await keyValue.get(key);
     const earlier = entry && (JSON.parse(entry.value) as ServerRegistration);
@@ -42,9 +54,10 @@
       JSON.stringify(registration),
       entry?.revision ?? 0,
     );
-    return outcome.kind === 'written' ? registration : undefined;
-  } catch {
-    return undefined;
+    if (outcome.kind === 'written') return registration;
+    return outcome.kind === 'unknown' ? outcome.cause : outcome.kind;
+  } catch (error) {
+    return String(error);
   }
 }
 
