--- a/packages/azurecrank/test/cli_test.ts
+++ b/packages/azurecrank/test/cli_test.ts
@@ -19,6 +19,9 @@
 
 const BINARY = join(import.meta.dirname, '../../bin/azurecrank.js');
 
+const COMMANDS = ['check', 'apply', 'show', 'status', 'explain'];
+const EXAMPLES = join(import.meta.dirname, '../../../../examples');
+
 interface Run {
   readonly exitCode: number;
   readonly stdout: string;
@@ -57,7 +60,13 @@
   });
 
   describe('help and usage', () => {
-    for (const name of ['check', 'apply', 'show', 'status', 'explain']) {
+    it('lists every command', async () => {
+      const {exitCode, stdout} = await run('--help');
+      expect(exitCode).toEqual(0);
+      for (const name of [...COMMANDS, 'entry']) expect(stdout).toInclude(name);
+    });
+
+    for (const name of COMMANDS) {
       it(`${name} --help`, async () => {
         const {exitCode, stdout} = await run(name, '--help');
         expect(exitCode).toEqual(0);
@@ -82,6 +91,18 @@
     });
   });
 
+  describe('examples', () => {
+    for (const name of ['repair_works.toml', 'netting_hire.toml']) {
+      // Guards against examples that a change of the checks has made invalid.
+      it(`accepts ${name}`, async () => {
+        const file = join(EXAMPLES, name);
+        const {exitCode, stderr} = await run('check', file);
+        expect(stderr).toEqual('');
+        expect(exitCode).toEqual(0);
+      });
+    }
+  });
+
   describe('apply, show and status', () => {
     it('goes from accepted to conflict and to not reachable', async () => {
       const first = write('first.toml', 'revision = 0\n# first\n');
