--- a/packages/azurecrank/src/core/calls/call_dispatcher.ts
+++ b/packages/azurecrank/src/core/calls/call_dispatcher.ts
@@ -10,6 +10,7 @@
   refuse,
   type Call,
   type CallResult,
+  type Logger,
   type Metrics,
   type RanState,
   type Refusal,
@@ -37,6 +38,8 @@
   /** Time to wait for the answer to a cancel. */
   readonly cancelWaitMs: number;
   readonly random: () => number;
+  /** Gets one line for each retry. */
+  readonly logger?: Logger;
 }
 
 export const DEFAULT_CALL_DISPATCHER_OPTIONS: CallDispatcherOptions = {
@@ -238,10 +241,20 @@
       });
     }
     progress.usedOnce.add(permit.reason);
-    this.metrics.increment(RETRIES_COUNTER, {reason: permit.reason});
+    this.noteRetry(progress.request, permit.reason, last);
     return undefined;
   }
 
+  private noteRetry(
+    {request, workspace, rank}: CallRequest,
+    reason: RetryPermit['reason'],
+    {step, peer, detail}: Refusal,
+  ): void {
+    this.metrics.increment(RETRIES_COUNTER, {reason});
+    const fields = {request, workspace, rank, step, peer, reason, detail};
+    this.options.logger?.info('retry', fields);
+  }
+
   /** A later refusal cannot take back that an earlier attempt may have run. */
   private finish({mayHaveRun}: Progress, refusal: Refusal): Refusal {
     if (!mayHaveRun || refusal.ran !== 'not_run') return refusal;
--- a/packages/azurecrank/src/core/gateway/client_errors.ts
+++ b/packages/azurecrank/src/core/gateway/client_errors.ts
@@ -19,11 +19,14 @@
   server: Server,
   metrics: Metrics,
   logger: Logger,
+  headTimeoutMs = HEAD_TIMEOUT_MS,
 ): void {
-  server.headersTimeout = HEAD_TIMEOUT_MS;
+  server.headersTimeout = headTimeoutMs;
   // Bodies have their own limit, see `body_timeout_ms`.
   server.requestTimeout = 0;
-  Object.assign(server, {connectionsCheckingInterval: CHECK_PERIOD_MS});
+  // The period is an option of the constructor that the types do not show.
+  const connectionsCheckingInterval = Math.min(headTimeoutMs, CHECK_PERIOD_MS);
+  Object.assign(server, {connectionsCheckingInterval});
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       return void socket.destroy();
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -89,12 +89,13 @@
         {
           versions: () => this.documents.versions(),
           onMessage: (message, link) => this.receive(message, link),
-          onPeerDown: address => this.notePeerDown(address),
+          onPeerDown: (address, cause) => this.notePeerDown(address, cause),
           onLost: lost => this.callTransport.onLost(lost),
-          onConnectionReplaced: () =>
-            this.metrics.increment('azurecrank_retries_total', {
-              reason: 'connection_replaced',
-            }),
+          onConnectionReplaced: peer => {
+            const reason = 'connection_replaced';
+            this.metrics.increment('azurecrank_retries_total', {reason});
+            this.logger.info('retry', {reason, peer});
+          },
         },
         toSilenceOptions(settings),
       ),
@@ -134,10 +135,13 @@
     await this.peers.listen(address, peerPort, advertisedAddress);
     this.addRoutes();
     const port = await this.health.listen(address, httpPort);
-    this.logger.info('listening', {peer: this.peers.address, httpPort: port});
+    this.logger.info('listening', {
+      address: this.peers.address,
+      httpPort: port,
+    });
     await this.follow();
     this.lifecycle.send({type: 'configured'});
-    this.logger.info('ready', {peer: this.peers.address});
+    this.logger.info('ready', {address: this.peers.address});
     return port;
   }
 
@@ -175,6 +179,9 @@
       this.peers.link(peer as PeerAddress);
     }
     this.documents.onChange(() => this.connectHeads());
+    this.documents.onChange(() => {
+      this.logger.info('documents in force', {...this.documents.versions()});
+    });
     this.documents.start();
     const {node, keyValueUrl, hostListUrl, placementLeaseMs} = this.settings;
     const {logger, metrics} = this;
@@ -222,8 +229,9 @@
     for (const address of addresses) peers.link(address);
   }
 
-  private notePeerDown(address: PeerAddress): void {
+  private notePeerDown(address: PeerAddress, cause: string): void {
     const server = this.router.serverAt(address);
+    this.logger.warn('peer cannot be reached', {peer: address, server, cause});
     if (server) this.router.membership.noteDown(server);
     this.generations.onPeerDown(address);
   }
@@ -267,6 +275,7 @@
         this.callTransport,
         new RouterCallBudget(router),
         metrics,
+        {logger},
       ),
       servers: service =>
         router.membership.usableServers(this.documents.plan, service),
--- a/packages/bench/test/callers_interface_test.ts
+++ b/packages/bench/test/callers_interface_test.ts
@@ -133,6 +133,10 @@
       );
     await waitFor(() => lines().length > 0);
     expect(lines().length).toEqual(1);
+    const fields = JSON.parse(lines()[0]) as Record<string, unknown>;
+    expect(fields['reason']).toEqual(reason);
+    expect(fields['step']).toEqual('accept');
+    expect(['info', 'warn']).toInclude(String(fields['level']));
     return answer;
   }
 
@@ -356,6 +360,35 @@
     }
   });
 
+  describe('logs', () => {
+    // Guards against a line per token or per served request.
+    it('have no line for a request that is served', async () => {
+      const response = await client.chat.completions
+        .create({model: SERVICE, messages: [...MESSAGES], max_tokens: 20})
+        .withResponse();
+      const id = response.response.headers.get('azurecrank-request-id') ?? '';
+      expect(id).not.toEqual('');
+      const all = [...entry.program.log, ...side.program.log];
+      expect(all.filter(line => line.includes(id))).toEqual([]);
+    });
+
+    it('name workspace, service and rank of a refused request', async () => {
+      const headers = {
+        'azurecrank-deadline-ms': '1',
+        'azurecrank-rank': 'overnight',
+      };
+      const {problem} = await sendChat({}, headers);
+      const find = () =>
+        entry.program.log.find(line => line.includes(problem.requestId));
+      await waitFor(() => find() !== undefined);
+      const fields = JSON.parse(find() ?? '') as Record<string, unknown>;
+      expect(fields['workspace']).toEqual('courthouse');
+      expect(fields['service']).toEqual(SERVICE);
+      expect(fields['rank']).toEqual('overnight');
+      expect(fields['reason']).toEqual(problem.reason);
+    });
+  });
+
   describe('metrics', () => {
     it('declare every refusal and retry reason in both processes', async () => {
       for (const running of [entry, side]) {
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -83,7 +83,10 @@
     const {address, peerPort, httpPort, advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
-    this.logger.info('listening', {peer: this.peers.address, httpPort: port});
+    this.logger.info('listening', {
+      address: this.peers.address,
+      httpPort: port,
+    });
     const engine = await this.startModel();
     this.startService();
     const registration = await registerServer(
@@ -96,9 +99,12 @@
       this.peers.link(peer as PeerAddress);
     }
     this.documents.onChange(() => void this.model?.reconcile());
+    this.documents.onChange(() => {
+      this.logger.info('documents in force', {...this.documents.versions()});
+    });
     this.documents.start();
     this.lifecycle.send({type: 'configured'});
-    this.logger.info('ready', {peer: this.peers.address});
+    this.logger.info('ready', {address: this.peers.address});
     return port;
   }
 
@@ -125,9 +131,13 @@
       versions: () => this.documents.versions(),
       onMessage: (message: Message, link: PeerLink) =>
         this.receive(message, link),
-      onPeerDown: (address: PeerAddress) => this.model?.onPeerDown(address),
-      onConnectionReplaced: () => {
+      onPeerDown: (peer: PeerAddress, cause: string) => {
+        this.logger.warn('peer cannot be reached', {peer, cause});
+        this.model?.onPeerDown(peer);
+      },
+      onConnectionReplaced: (peer: PeerAddress) => {
         const reason = 'connection_replaced';
+        this.logger.info('retry', {reason, peer});
         this.metrics.increment('azurecrank_retries_total', {reason});
       },
     };
