Put the reserved shares of the operators' file in force

Cause: [ranks] was checked and shown, but no side process gave the shares to its queue and its batch former, so the defaults were always in force. Heads and stages now take them with each new configuration.

Ruled out: building a new queue for each configuration, which would lose the order and the debts of waiting requests.

No run with processes shows the share under load yet.

--- a/packages/core/src/core/scheduling/batch_former.ts
+++ b/packages/core/src/core/scheduling/batch_former.ts
@@ -40,6 +40,10 @@
     this.shares = new RankShares(reservedShares, shareHalfLifeMs);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.shares.setShares(reserved);
+  }
+
   /**
    * Picks from `runQueue`, which is in order of arrival, at most one step of
    * each request. Steps that are not picked, and the rest of a prompt of which
--- a/packages/core/src/core/scheduling/fair_queue.ts
+++ b/packages/core/src/core/scheduling/fair_queue.ts
@@ -45,7 +45,7 @@
   /** Cost of the items that were served and not settled, by rank. */
   private readonly servedCost = RANKS.map(() => 0);
   private readonly shares: RankShares;
-  private readonly reservedItems: readonly number[];
+  private reservedItems: readonly number[];
 
   constructor(private readonly options: FairQueueOptions) {
     const reserved = options.reservedShares ?? DEFAULT_RESERVED_SHARES;
@@ -53,10 +53,13 @@
       reserved,
       options.shareHalfLifeMs ?? DEFAULT_SHARE_HALF_LIFE_MS,
     );
-    // A rank whose items were all evicted could not use its reserved share.
-    this.reservedItems = reserved.map(share =>
-      Math.ceil(share * options.maxItems),
-    );
+    this.reservedItems = this.toReservedItems(reserved);
+  }
+
+  /** Takes new shares, for example of a new configuration. */
+  setReservedShares(reserved: ReservedShares): void {
+    this.shares.setShares(reserved);
+    this.reservedItems = this.toReservedItems(reserved);
   }
 
   get size(): number {
@@ -198,6 +201,11 @@
     return {accepted: true, refused: [{item: victim, reason}]};
   }
 
+  /** A rank whose items were all evicted could not use its reserved share. */
+  private toReservedItems(reserved: ReservedShares): number[] {
+    return reserved.map(share => Math.ceil(share * this.options.maxItems));
+  }
+
   /** A rank within its reserved part is kept out by the others. */
   private refusalOf(rank: number): RefusalReason {
     const isWithin = this.ranks[rank].size <= this.reservedItems[rank];
--- a/packages/core/src/core/scheduling/rank_shares.ts
+++ b/packages/core/src/core/scheduling/rank_shares.ts
@@ -44,10 +44,15 @@
   private updatedAtMs = -Infinity;
 
   constructor(
-    private readonly shares: ReservedShares = DEFAULT_RESERVED_SHARES,
+    private shares: ReservedShares = DEFAULT_RESERVED_SHARES,
     private readonly halfLifeMs = DEFAULT_SHARE_HALF_LIFE_MS,
   ) {}
 
+  /** Takes new shares from now on; earned balances and debts stay. */
+  setShares(shares: ReservedShares): void {
+    this.shares = shares;
+  }
+
   /**
    * Chooses the rank to serve, by index. A rank that is eligible only for its
    * reserved share is chosen only before a higher eligible one.
--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -59,6 +59,10 @@
     this.rules = new SlotRules(options);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.queue.setReservedShares(reserved);
+  }
+
   get runningRequests(): number {
     return this.slots.size;
   }
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -15,6 +15,7 @@
   type PeerLink,
   type PeerNode,
   type Plan,
+  type ReservedShares,
   type ServerId,
   type ServerRegistration,
   type SideSettings,
@@ -129,6 +130,12 @@
     this.isReconciling = false;
   }
 
+  /** Puts the shares of the operators' file in force. */
+  setReservedShares(reserved: ReservedShares): void {
+    this.head.setReservedShares(reserved);
+    this.stage.setReservedShares(reserved);
+  }
+
   /** Takes no new request; those in flight go on. */
   leave(): void {
     this.head.leave();
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -13,6 +13,7 @@
   createInstanceId,
   declareProcessMetrics,
   loadChartDefinition,
+  reservedShares,
   toId,
   toSilenceOptions,
   type ChartEvent,
@@ -98,8 +99,14 @@
     for (const peer of this.settings.seedPeers) {
       this.peers.link(peer as PeerAddress);
     }
-    this.documents.onChange(() => void this.model?.reconcile());
     this.documents.onChange(() => {
+      const {config} = this.documents;
+      // The first entry is unused: the urgent rank has what the others leave.
+      if (config) {
+        const [, ...others] = reservedShares(config);
+        this.model?.setReservedShares([0, ...others]);
+      }
+      void this.model?.reconcile();
       this.logger.info('documents in force', {...this.documents.versions()});
     });
     this.documents.start();
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -13,6 +13,7 @@
   type PeerAddress,
   type Release,
   type Replay,
+  type ReservedShares,
   type RequestId,
   type Reroute,
   type StepMessage,
@@ -65,6 +66,10 @@
     this.log = new ActivationLog(options.activationLogBytes);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.runner.setReservedShares(reserved);
+  }
+
   /** Sequences that hold a cache in the engine. */
   get size(): number {
     return this.sequences.size;
--- a/packages/side/src/core/sequences/stage_runner.ts
+++ b/packages/side/src/core/sequences/stage_runner.ts
@@ -10,6 +10,7 @@
   type EngineOutput,
   type EngineStep,
   type Rank,
+  type ReservedShares,
   type RequestId,
 } from '@azurecrank/core';
 
@@ -91,6 +92,10 @@
     this.former = new BatchFormer(limits);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.former.setReservedShares(reserved);
+  }
+
   get queuedSteps(): number {
     return this.queue.length;
   }
