--- a/packages/azurecrank/test/refusal_sender_test.ts
+++ b/packages/azurecrank/test/refusal_sender_test.ts
@@ -9,11 +9,18 @@
   type Refusal,
 } from '@azurecrank/core';
 import {expect} from 'earl';
+import OpenAI from 'openai';
 import {request} from 'undici';
+import {
+  StreamingChatSink,
+  createChatHead,
+} from '../src/core/gateway/chat_response.js';
 import {answerClientErrors} from '../src/core/gateway/client_errors.js';
 import {Exchange} from '../src/core/gateway/exchange.js';
 import {RefusalSender} from '../src/core/gateway/refusal_sender.js';
 
+const noop = () => undefined;
+
 describe('refusals to callers', () => {
   const servers: Server[] = [];
   after(() => servers.forEach(server => server.close()));
@@ -57,6 +64,38 @@
     expect(line.step).toEqual('recover');
   });
 
+  // Guards against clients that take a part of an answer for the whole.
+  it('end a stream that has begun with an error', async () => {
+    const metrics = new Metrics();
+    const sender = new RefusalSender(metrics, new Logger('stream', 'silent'));
+    const instance = createInstanceId();
+    const port = await listen(
+      createServer((req, res) => {
+        const exchange = new Exchange(req, res, instance);
+        const head = createChatHead(exchange.request, 'drafts');
+        const sink = new StreamingChatSink(exchange, head, false, sender, noop);
+        sink.onToken('one ');
+        sink.onRefused(refuse('stage_lost', 'recover', {ran: 'ran'}));
+      }),
+    );
+    const baseURL = `http://127.0.0.1:${port}`;
+    const client = new OpenAI({baseURL, apiKey: 'key', maxRetries: 0});
+    const stream = await client.chat.completions.create({
+      model: 'drafts',
+      messages: [],
+      stream: true,
+    });
+    let text = '';
+    const read = async () => {
+      for await (const {choices} of stream) text += choices[0].delta.content;
+    };
+    await expect(read()).toBeRejectedWith(/A stage was lost/);
+    expect(text).toEqual('one ');
+    const reason = 'stage_lost';
+    const count = metrics.counterValue('azurecrank_refusals_total', {reason});
+    expect(count).toEqual(1);
+  });
+
   // Guards against connections held open by callers that send no request.
   it('answer a request head that does not arrive in time', async () => {
     const metrics = new Metrics();
