--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -12,11 +12,11 @@
   type Hello,
   type Leaving,
   Logger,
+  METRICS,
   Metrics,
   PeerNode,
-  REFUSALS,
-  RETRY_REASONS,
   createInstanceId,
+  declareProcessMetrics,
   loadChartDefinition,
   toSilenceOptions,
   type ChartEvent,
@@ -30,9 +30,12 @@
 import {PeerCallTransport} from '../calls/peer_call_transport.js';
 import {RouterCallBudget} from '../calls/router_call_budget.js';
 import {CallGateway} from '../gateway/call_gateway.js';
-import type {CallerDirectory} from '../gateway/caller_directory.js';
+import {answerClientErrors} from '../gateway/client_errors.js';
 import {ConfigDirectory} from '../gateway/config_directory.js';
 import {Gateway} from '../gateway/gateway.js';
+import {refuseOtherPath} from '../gateway/other_paths.js';
+import {RefusalSender} from '../gateway/refusal_sender.js';
+import {RequestGate} from '../gateway/request_gate.js';
 import {GenerationTable} from '../generation/generation_table.js';
 import {LeaseHolder} from '../placement/lease_holder.js';
 import {PlacementRunner} from '../placement/placement_runner.js';
@@ -43,6 +46,9 @@
 const PLACEMENT_PERIOD_MS = 1000;
 const RECONNECT_PERIOD_MS = 2000;
 const SERVICE_WAIT_MS = 2000;
+/** Period of the log line of a process that cannot start to serve. */
+const WAITING_LOG_MS = 2000;
+
 const PLAN_WAIT_MS = 5000;
 const PLAN_CHECK_MS = 20;
 
@@ -63,13 +69,13 @@
     {},
   );
   private readonly callTransport: PeerCallTransport;
-  private calls: CallGateway | undefined;
+  private gate: RequestGate | undefined;
   private isAccepting = true;
 
   constructor(private readonly settings: EntrySettings) {
     const {node, availabilityZone, logLevel} = settings;
     this.logger = new Logger(node, logLevel);
-    this.declareCounters();
+    declareProcessMetrics(this.metrics, 'entry');
     this.keyValue = this.store.add(
       new HttpKeyValueService(settings.keyValueUrl),
     );
@@ -85,12 +91,13 @@
         {
           versions: () => this.documents.versions(),
           onMessage: (message, link) => this.receive(message, link),
-          onPeerDown: address => this.notePeerDown(address),
+          onPeerDown: (address, cause) => this.notePeerDown(address, cause),
           onLost: lost => this.callTransport.onLost(lost),
-          onConnectionReplaced: () =>
-            this.metrics.increment('azurecrank_retries_total', {
-              reason: 'connection_replaced',
-            }),
+          onConnectionReplaced: peer => {
+            const reason = 'connection_replaced';
+            this.metrics.increment('azurecrank_retries_total', {reason});
+            this.logger.info('retry', {reason, peer});
+          },
         },
         toSilenceOptions(settings),
       ),
@@ -128,33 +135,15 @@
     const {address, peerPort, httpPort} = this.settings;
     const {advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
-    const {maxBodyBytes, maxRequests} = this.settings;
-    const directory = new ConfigDirectory(() => this.documents.config);
-    const gateway = new Gateway({
-      instance: this.instance,
-      directory,
-      generations: this.generations,
-      generation: {
-        transport: new PeerTransport(this.peers),
-        policy: this.router,
-        metrics: this.metrics,
-        logger: this.logger,
-      },
-      metrics: this.metrics,
-      maxBodyBytes,
-      maxRequests,
-      unavailable: () => {
-        if (this.lifecycle.state === 'starting') return 'starting';
-        return this.isAccepting ? undefined : 'leaving';
-      },
-    });
-    gateway.addRoutes(this.health.app);
-    this.calls = this.createCallGateway(gateway, directory);
-    this.calls.addRoutes(this.health.app);
+    this.addRoutes();
     const port = await this.health.listen(address, httpPort);
+    this.logger.info('listening', {
+      address: this.peers.address,
+      httpPort: port,
+    });
     await this.follow();
     this.lifecycle.send({type: 'configured'});
-    this.logger.info('ready', {peer: this.peers.address});
+    this.logger.info('ready', {address: this.peers.address});
     return port;
   }
 
@@ -179,7 +168,7 @@
   }
 
   private isIdle(): boolean {
-    return this.generations.size === 0 && (this.calls?.inFlight ?? 0) === 0;
+    return (this.gate?.inFlight ?? 0) === 0;
   }
 
   [Symbol.dispose](): void {
@@ -192,6 +181,9 @@
       this.peers.link(peer as PeerAddress);
     }
     this.documents.onChange(() => this.connectHeads());
+    this.documents.onChange(() => {
+      this.logger.info('documents in force', {...this.documents.versions()});
+    });
     this.documents.start();
     const {node, keyValueUrl, hostListUrl, placementLeaseMs} = this.settings;
     const {logger, metrics} = this;
@@ -211,7 +203,12 @@
     });
     this.store.add(placement).start();
     this.store.interval(() => this.connectHeads(), RECONNECT_PERIOD_MS);
+    const reminder = setInterval(
+      () => this.logger.warn('waits for a configuration', {keyValueUrl}),
+      WAITING_LOG_MS,
+    );
     await this.documents.whenConfigured();
+    clearInterval(reminder);
     await this.waitForService();
     await this.waitForPlan();
   }
@@ -248,8 +245,9 @@
     for (const address of addresses) peers.link(address);
   }
 
-  private notePeerDown(address: PeerAddress): void {
+  private notePeerDown(address: PeerAddress, cause: string): void {
     const server = this.router.serverAt(address);
+    this.logger.warn('peer cannot be reached', {peer: address, server, cause});
     if (server) this.router.membership.noteDown(server);
     this.generations.onPeerDown(address);
   }
@@ -268,40 +266,47 @@
     if (server) this.router.membership.noteHello(server, instance);
   }
 
-  private createCallGateway(
-    gateway: Gateway,
-    directory: CallerDirectory,
-  ): CallGateway {
-    const {router, metrics, instance} = this;
-    const {maxBodyBytes} = this.settings;
-    return new CallGateway({
-      instance,
-      gateway,
+  /** Serves callers; refuses with `starting` until there is a configuration. */
+  private addRoutes(): void {
+    const {health, metrics, logger, router} = this;
+    const directory = new ConfigDirectory(() => this.documents.config);
+    const refusals = new RefusalSender(metrics, logger);
+    const gate = new RequestGate({
+      ...this.settings,
+      instance: this.instance,
       directory,
+      metrics,
+      refusals,
+      unavailable: () => {
+        if (this.lifecycle.state === 'starting') return 'starting';
+        return this.isAccepting ? undefined : 'leaving';
+      },
+    });
+    this.gate = gate;
+    const {help} = METRICS.azurecrank_requests_in_flight;
+    metrics.gauge('azurecrank_requests_in_flight', help, () => gate.inFlight);
+    const generation = {
+      transport: new PeerTransport(this.peers),
+      policy: router,
+      metrics,
+      logger,
+    };
+    const {generations} = this;
+    const common = {gate, refusals, directory};
+    new Gateway({...common, generations, generation}).addRoutes(health.app);
+    new CallGateway({
+      ...common,
       dispatcher: new CallDispatcher(
         this.callTransport,
         new RouterCallBudget(router),
         metrics,
+        {logger},
       ),
-      maxBodyBytes,
       servers: service =>
         router.membership.usableServers(this.documents.plan, service),
-    });
-  }
-
-  private declareCounters(): void {
-    this.metrics.declareCounter(
-      'azurecrank_refusals_total',
-      'Requests refused, by reason',
-      'reason',
-      Object.keys(REFUSALS),
-    );
-    this.metrics.declareCounter(
-      'azurecrank_retries_total',
-      'Messages or requests sent again, by reason',
-      'reason',
-      RETRY_REASONS,
-    );
+    }).addRoutes(health.app);
+    health.answerOther = (req, res) => refuseOtherPath(gate, req, res);
+    health.prepare = server => answerClientErrors(server, metrics, logger);
   }
 
   private receive(message: Message, link: PeerLink): void {
--- a/packages/bench/test/in_memory_fleet.ts
+++ b/packages/bench/test/in_memory_fleet.ts
@@ -150,6 +150,12 @@
   override recordSuccess(): void {}
 
   override noteLeaving(): void {}
+
+  override noteLost(): void {}
+
+  override withUsableStages(chain: Chain): Chain {
+    return chain;
+  }
 }
 
 export class InMemoryFleet implements Disposable {
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -12,7 +12,9 @@
   PeerNode,
   SERVERS_PREFIX,
   createInstanceId,
+  declareProcessMetrics,
   loadChartDefinition,
+  reservedShares,
   toId,
   toSilenceOptions,
   type ChartEvent,
@@ -58,6 +60,7 @@
   constructor(private readonly settings: SideSettings) {
     const {node, logLevel} = settings;
     this.logger = new Logger(node, logLevel);
+    declareProcessMetrics(this.metrics, 'side');
     this.keyValue = this.store.add(
       new HttpKeyValueService(settings.keyValueUrl),
     );
@@ -88,21 +91,35 @@
     const {address, peerPort, httpPort, advertisedAddress} = this.settings;
     await this.peers.listen(address, peerPort, advertisedAddress);
     const port = await this.health.listen(address, httpPort);
+    this.logger.info('listening', {
+      address: this.peers.address,
+      httpPort: port,
+    });
     const engine = await this.startModel();
     this.startService();
     const registration = await registerServer(
       this.keyValue,
       this.draftRegistration('live', engine),
+      this.logger,
     );
     this.model?.followPlan(registration);
     this.pauses.onPause(pausedMs => this.model?.notePause(pausedMs));
     for (const peer of this.settings.seedPeers) {
       this.peers.link(peer as PeerAddress);
     }
-    this.documents.onChange(() => void this.model?.reconcile());
+    this.documents.onChange(() => {
+      const {config} = this.documents;
+      // The first entry is unused: the urgent rank has what the others leave.
+      if (config) {
+        const [, ...others] = reservedShares(config);
+        this.model?.setReservedShares([0, ...others]);
+      }
+      void this.model?.reconcile();
+      this.logger.info('documents in force', {...this.documents.versions()});
+    });
     this.documents.start();
     this.lifecycle.send({type: 'configured'});
-    this.logger.info('ready', {peer: this.peers.address});
+    this.logger.info('ready', {address: this.peers.address});
     return port;
   }
 
@@ -130,9 +147,13 @@
       versions: () => this.documents.versions(),
       onMessage: (message: Message, link: PeerLink) =>
         this.receive(message, link),
-      onPeerDown: (address: PeerAddress) => this.model?.onPeerDown(address),
-      onConnectionReplaced: () => {
+      onPeerDown: (peer: PeerAddress, cause: string) => {
+        this.logger.warn('peer cannot be reached', {peer, cause});
+        this.model?.onPeerDown(peer);
+      },
+      onConnectionReplaced: (peer: PeerAddress) => {
         const reason = 'connection_replaced';
+        this.logger.info('retry', {reason, peer});
         this.metrics.increment('azurecrank_retries_total', {reason});
       },
     };
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -14,6 +14,7 @@
   type PeerAddress,
   type Release,
   type Replay,
+  type ReservedShares,
   type RequestId,
   type Reroute,
   type StageOutput,
@@ -78,6 +79,10 @@
     this.log = new ActivationLog(options.activationLogBytes);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.runner.setReservedShares(reserved);
+  }
+
   [Symbol.dispose](): void {
     this.runner[Symbol.dispose]();
   }
--- a/packages/side/src/core/sequences/stage_runner.ts
+++ b/packages/side/src/core/sequences/stage_runner.ts
@@ -11,6 +11,7 @@
   type EngineOutput,
   type EngineStep,
   type Rank,
+  type ReservedShares,
   type RequestId,
 } from '@azurecrank/core';
 
@@ -123,6 +124,10 @@
     this.stalls.paused(pausedMs);
   }
 
+  setReservedShares(reserved: ReservedShares): void {
+    this.former.setReservedShares(reserved);
+  }
+
   get queuedSteps(): number {
     return this.queue.length;
   }
