Measure slopes in warmed code, of stages and of the bare machine

Cause: the first trial had spreads above 100% in short calls, since the first size ran uncompiled code, and measured the activation log across the release of orphans. Stages other than heads and a bare echo process are new, and a chat that fails ends the run, because refusals had been measured as requests.

--- a/packages/bench/src/slopes/entry_slopes.ts
+++ b/packages/bench/src/slopes/entry_slopes.ts
@@ -18,6 +18,8 @@
 const WINDOWS = 3;
 const WINDOW_MS = 2000;
 const SETTLE_MS = 2500;
+/** Key of a workspace of `configText` that may use `MODEL`. */
+const BEARER_KEY = 'key-4';
 const PROMPT = 'word '.repeat(1000);
 const PROMPT_TOKENS = Array.from({length: 1000}, (_, index) => 20_000 + index);
 
@@ -211,15 +213,17 @@
   ];
 }
 
-function chat({httpUrl}: RunningProcess, maxTokens: number) {
-  return streamChat({
+/** @throws Error if the answer is not whole, because nothing was measured. */
+async function chat({httpUrl}: RunningProcess, maxTokens: number) {
+  const outcome = await streamChat({
     url: httpUrl,
-    bearerKey: 'key-3',
+    bearerKey: BEARER_KEY,
     service: `chat_${MODEL}`,
     prompt: PROMPT,
     maxTokens,
     headers: {'azurecrank-deadline-ms': '60000'},
   });
+  if (!outcome.isWhole) throw new Error(`chat failed: ${outcome.reason}`);
 }
 
 function openEvery(entry: RunningProcess, periodMs: number): () => void {
--- a/packages/bench/src/slopes/head_slopes.ts
+++ b/packages/bench/src/slopes/head_slopes.ts
@@ -2,7 +2,13 @@
 import type {Message, PeerAddress} from '@azurecrank/core';
 import type {Fleet, RunningProcess} from '../fleet/fleet.js';
 import {createSlope, type Point, type Slope} from './fit.js';
-import {cpuOfProcessUs, cpuPerSecond, residentBytes, sleep} from './measure.js';
+import {
+  cpuOfProcessUs,
+  cpuPerSecond,
+  pace,
+  residentBytes,
+  sleep,
+} from './measure.js';
 import {RawEngine} from './raw_engine.js';
 import {
   RawListener,
@@ -15,28 +21,19 @@
 
 const LINKS = [50, 100, 200, 400];
 const PINGS_PER_S = [100, 300, 600, 1200];
-const STEPS_PER_S = [100, 200, 400, 800];
+const STEPS_PER_S = [200, 400, 800, 1600];
+const LOG_TOKENS = [100, 200, 400, 800];
+const LOG_BYTES = 1024;
 const ACTIVATION_BYTES = [1024, 4096, 16_384, 65_536];
 const RECONNECTS = [100, 200, 400, 800];
 const WINDOWS = 3;
 const WINDOW_MS = 2000;
-const SETTLE_MS = 700;
+const SETTLE_MS = 1000;
 const IDLE_PING_MS = 2000;
-const TICK_MS = 10;
 const BATCH_MS = 4;
 const SEQUENCES = 50;
 const ACTIVATION_STEPS_PER_S = 200;
 
-/** Runs `act` as often per tick of 10 ms as the rate asks for. */
-function pace(perSecond: number, act: () => void): () => void {
-  let owed = 0;
-  const timer = setInterval(() => {
-    owed += (perSecond * TICK_MS) / 1000;
-    for (; owed >= 1; owed--) act();
-  }, TICK_MS);
-  return () => clearInterval(timer);
-}
-
 async function windows(pid: number): Promise<number[]> {
   const samples: number[] = [];
   for (let index = 0; index < WINDOWS; index++) {
@@ -93,14 +90,17 @@
 
 export function headSlopes(): Promise<Slope[]> {
   return withSide(0, async ({side}) => [
-    ...(await linkSlopes(side)),
+    ...(await linkSlopes(side, 'head')),
     await pingSlope(side),
     ...(await reconnectSlopes(side, 'head')),
   ]);
 }
 
 /** Connected entries that ping every 2 s and get a load report each second. */
-async function linkSlopes(side: RunningProcess): Promise<Slope[]> {
+async function linkSlopes(
+  side: RunningProcess,
+  name: string,
+): Promise<Slope[]> {
   const {program} = side;
   const cpu: Point[] = [];
   const memory: Point[] = [];
@@ -123,10 +123,10 @@
     await sleep(SETTLE_MS);
   }
   return [
-    createSlope('head.link_cpu', 'links', 'us/s', cpu),
-    createSlope('head.link_memory', 'links', 'B', memory),
-    createSlope('head.link_received', 'links', 'B/s', received),
-    createSlope('head.link_sent', 'links', 'B/s', sent),
+    createSlope(`${name}.link_cpu`, 'links', 'us/s', cpu),
+    createSlope(`${name}.link_memory`, 'links', 'B', memory),
+    createSlope(`${name}.link_received`, 'links', 'B/s', received),
+    createSlope(`${name}.link_sent`, 'links', 'B/s', sent),
   ];
 }
 
@@ -174,42 +174,49 @@
   ];
 }
 
+/** Entries connect to every stage of a chain, not only to its head. */
+export function stageLinkSlopes(): Promise<Slope[]> {
+  return withSide(1, ({side}) => linkSlopes(side, 'stage'));
+}
+
 /** A stage in the middle of a chain of 8. */
 export function stageSlopes(): Promise<Slope[]> {
   return withSide(1, async ({side}) => {
     using next = await new RawListener('next', () => undefined).listen();
-    const run = (size: number, perSecond: number, bytes: number) =>
-      runSteps(side, next.address, `${bytes}-${size}`, perSecond, bytes);
+    const {address} = next;
+    const log = await logPoints(side, address);
     const steps: Point[] = [];
     for (const size of STEPS_PER_S) {
-      steps.push({size, samples: await run(size, size, ACTIVATION_BYTES[0])});
+      const samples = await cpuOfSteps(side, address, size, LOG_BYTES);
+      steps.push({size, samples});
     }
     const bytes: Point[] = [];
+    const perSecond = ACTIVATION_STEPS_PER_S;
     for (const size of ACTIVATION_BYTES) {
-      const samples = await run(size, ACTIVATION_STEPS_PER_S, size);
-      const perStep = samples.map(us => us / ACTIVATION_STEPS_PER_S);
-      bytes.push({size, samples: perStep});
+      const samples = await cpuOfSteps(side, address, perSecond, size);
+      bytes.push({size, samples: samples.map(us => us / perSecond)});
     }
     return [
+      createSlope('stage.log_bytes', 'tokens of 1 KB', 'B', log),
       createSlope('stage.step_cpu', 'steps/s', 'us/s', steps),
       createSlope('stage.byte_cpu', 'activation bytes', 'us/step', bytes),
-      createSlope('stage.log_bytes', 'tokens', 'B', await logPoints(side, run)),
     ];
   });
 }
 
-type Run = (size: number, perSecond: number, bytes: number) => Promise<unknown>;
-
-/** The log of the last sequences before and after a known number of tokens. */
-async function logPoints(side: RunningProcess, run: Run): Promise<Point[]> {
+/** Log size after a known number of tokens, before orphans are released. */
+async function logPoints(
+  side: RunningProcess,
+  next: PeerAddress,
+): Promise<Point[]> {
   const points: Point[] = [];
-  for (const size of [100, 200, 300, 400]) {
-    const before = await readLogBytes(side);
-    const stepsPerRun = (size * (WINDOWS * WINDOW_MS + SETTLE_MS)) / 1000;
-    await run(size, size, 512);
+  let tokens = 0;
+  for (const size of LOG_TOKENS) {
+    const sender = await startSteps(side, next, `log-${size}`, size, LOG_BYTES);
     await sleep(SETTLE_MS);
-    const bytes = (await readLogBytes(side)) - before;
-    points.push({size: stepsPerRun, samples: [bytes]});
+    tokens += sender.stop();
+    await sleep(SETTLE_MS);
+    points.push({size: tokens, samples: [await readLogBytes(side)]});
   }
   return points;
 }
@@ -219,24 +226,23 @@
   return Number(/^azurecrank_activation_log_bytes (\d+)/m.exec(text)?.[1]);
 }
 
-/** Sends one position of each sequence in turn at the given rate. */
-async function runSteps(
+/** Sends one position of each sequence in turn; `stop` returns the count. */
+async function startSteps(
   side: RunningProcess,
   next: PeerAddress,
   name: string,
   perSecond: number,
   bytes: number,
-): Promise<number[]> {
+): Promise<{stop: () => number}> {
   const hello = createHello('previous', 'side');
-  const peer = await connectRaw(peerAddressOf(side), hello, () => undefined);
-  const chain = createChain('m', stage =>
-    stage === 1 ? peerAddressOf(side) : next,
-  );
+  const address = peerAddressOf(side);
+  const peer = await connectRaw(address, hello, () => undefined);
+  const chain = createChain('m', stage => (stage === 1 ? address : next));
   const data = Buffer.alloc(bytes, 7);
   let sent = 0;
   const stop = pace(perSecond, () => {
     const position = Math.floor(sent / SEQUENCES);
-    const request = `${name}-${perSecond}-${sent++ % SEQUENCES}`;
+    const request = `${name}-${sent++ % SEQUENCES}`;
     peer.send({
       type: 'activation',
       request,
@@ -250,9 +256,24 @@
       stage: 1,
     } as unknown as Message);
   });
+  const end = () => {
+    stop();
+    setTimeout(() => peer.close(), SETTLE_MS / 2);
+    return sent;
+  };
+  return {stop: end};
+}
+
+async function cpuOfSteps(
+  side: RunningProcess,
+  next: PeerAddress,
+  perSecond: number,
+  bytes: number,
+): Promise<number[]> {
+  const name = `cpu-${perSecond}-${bytes}`;
+  const sender = await startSteps(side, next, name, perSecond, bytes);
   await sleep(SETTLE_MS);
   const samples = await windows(side.program.pid);
-  stop();
-  peer.close();
+  sender.stop();
   return samples;
 }
--- a/packages/bench/src/slopes/key_value_slopes.ts
+++ b/packages/bench/src/slopes/key_value_slopes.ts
@@ -1,12 +1,12 @@
 /** Calls on the key-value service by processes that have nothing to do. */
 import type {Fleet} from '../fleet/fleet.js';
 import {createSlope, type Point, type Slope} from './fit.js';
-import {cpuOfProcessUs, residentBytes, sleep} from './measure.js';
+import {cpuPerSecond, residentBytes, sleep} from './measure.js';
 import {RawEngine} from './raw_engine.js';
 import {engineInfo, keyValueCalls, startFleet} from './stage_set.js';
 
 const PROCESSES = [2, 4, 8, 16];
-const WINDOW_MS = 5000;
+const WINDOW_MS = 4000;
 const WINDOWS = 2;
 const SETTLE_MS = 3000;
 
@@ -67,7 +67,8 @@
 export interface BaseFigures {
   readonly process: string;
   readonly residentBytes: number;
-  readonly startCpuUs: number;
+  /** Processor time per second without any work, in microseconds. */
+  readonly idleCpuUsPerS: readonly number[];
 }
 
 /** Memory and start cost of processes without work. */
@@ -85,9 +86,13 @@
     ['entry', entry.program.pid],
     ['side', side.program.pid],
   ] as const;
-  return processes.map(([process, pid]) => ({
-    process,
-    residentBytes: residentBytes(pid),
-    startCpuUs: cpuOfProcessUs(pid),
-  }));
+  const figures: BaseFigures[] = [];
+  for (const [process, pid] of processes) {
+    const idleCpuUsPerS: number[] = [];
+    for (let index = 0; index < WINDOWS; index++) {
+      idleCpuUsPerS.push(await cpuPerSecond(pid, WINDOW_MS));
+    }
+    figures.push({process, residentBytes: residentBytes(pid), idleCpuUsPerS});
+  }
+  return figures;
 }
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -5,12 +5,13 @@
 import {spawn} from 'node:child_process';
 import {entryLinkSlopes, entryLoadSlopes} from './entry_slopes.js';
 import type {Slope} from './fit.js';
-import {headSlopes, stageSlopes} from './head_slopes.js';
+import {headSlopes, stageLinkSlopes, stageSlopes} from './head_slopes.js';
 import {
   baseFigures,
   keyValueSlopes,
   type BaseFigures,
 } from './key_value_slopes.js';
+import {machineSlopes} from './machine_slopes.js';
 import {
   claimSlopes,
   configSlopes,
@@ -21,12 +22,14 @@
 } from './pure_slopes.js';
 
 const GROUPS: Readonly<Record<string, () => Promise<Slope[]> | Slope[]>> = {
+  machine: machineSlopes,
   plan: planSlopes,
   config: configSlopes,
   queue: queueSlopes,
   claims: claimSlopes,
   frames: () => [electionSlope(), ...frameSlopes()],
   head: headSlopes,
+  stage_links: stageLinkSlopes,
   stage: stageSlopes,
   entry_links: entryLinkSlopes,
   entry_load: entryLoadSlopes,
--- a/packages/bench/src/slopes/measure.ts
+++ b/packages/bench/src/slopes/measure.ts
@@ -4,6 +4,8 @@
 
 const REPEATS = 5;
 
+const TICK_MS = 10;
+
 /** Shortest processor time of one sample, to stay above the clock's steps. */
 const LEAST_SAMPLE_US = 20_000;
 
@@ -132,3 +134,13 @@
   const seconds = (performance.now() - startMs) / 1000;
   return (cpuOfProcessUs(pid) - startUs) / seconds;
 }
+
+/** Runs `act` as often per tick of 10 ms as the rate asks for. */
+export function pace(perSecond: number, act: () => void): () => void {
+  let owed = 0;
+  const timer = setInterval(() => {
+    owed += (perSecond * TICK_MS) / 1000;
+    for (; owed >= 1; owed--) act();
+  }, TICK_MS);
+  return () => clearInterval(timer);
+}
