Remember the election hashes of known peers

Cause: each process checks twice a second for each of two documents whether it is elected to watch, and hashed the names of all its peers each time. Ruled out: a cache in each exchange, which would have to follow its links.

--- a/packages/core/src/core/configuration/watcher_election.ts
+++ b/packages/core/src/core/configuration/watcher_election.ts
@@ -7,9 +7,20 @@
 /** Without any contact for this long a process watches by itself. */
 export const LONELY_AFTER_MS = 2000;
 
+/** Bounds the remembered hashes; above the processes of a large system. */
+const MAX_REMEMBERED = 4096;
+
+/** Each process checks the election four times a second over all its peers. */
+const remembered = new Map<string, string>();
+
 /** Hashes spread the election, so that it does not follow host names. */
 export function electionHash(node: string): string {
-  return createHash('sha256').update(node).digest('hex').slice(0, 16);
+  const known = remembered.get(node);
+  if (known !== undefined) return known;
+  const hash = createHash('sha256').update(node).digest('hex').slice(0, 16);
+  if (remembered.size >= MAX_REMEMBERED) remembered.clear();
+  remembered.set(node, hash);
+  return hash;
 }
 
 /**
