--- a/packages/bench/src/slopes/pure_slopes.ts
+++ b/packages/bench/src/slopes/pure_slopes.ts
@@ -26,7 +26,7 @@
   type RequestId,
   type WorkspaceId,
 } from '@azurecrank/core';
-import {BENCH_MODELS, createFleet, fleetLinks} from '../benches/fleet.js';
+import {BENCH_MODELS, createFleet, fleetLinks} from '../figures/generated_fleet.js';
 import type {Slope} from './fit.js';
 import {cpuSlope, exactSlope, memorySlope} from './measure.js';
 
@@ -277,6 +277,7 @@
       type: 'step',
       request: 'a'.repeat(40) as RequestId,
       attempt: 1 as never,
+      cacheSince: 1 as never,
       position: 1000,
       rank: 'ordinary',
       entry: '10.0.0.1:40000' as never,
