--- a/packages/bench/src/slopes/pure_slopes.ts
+++ b/packages/bench/src/slopes/pure_slopes.ts
@@ -26,7 +26,11 @@
   type RequestId,
   type WorkspaceId,
 } from '@azurecrank/core';
-import {BENCH_MODELS, createFleet, fleetLinks} from '../figures/generated_fleet.js';
+import {
+  BENCH_MODELS,
+  createFleet,
+  fleetLinks,
+} from '../figures/generated_fleet.js';
 import type {Slope} from './fit.js';
 import {cpuSlope, exactSlope, memorySlope} from './measure.js';
 
