Serve HEAD where GET is served and keep details short

Cause: HEAD of /livez, /readyz and /v1/models had no route and got 404 or 405, although balancers may check health with it. A refused name was repeated in full in the answer and the log line, up to max_body_bytes.

--- a/packages/azurecrank/src/core/gateway/gateway.ts
+++ b/packages/azurecrank/src/core/gateway/gateway.ts
@@ -1,6 +1,5 @@
 /** Chat completions and models for callers (OpenAI-compatible). */
-import {refuse} from '@azurecrank/core';
-import type {Polka} from 'polka';
+import {refuse, type HealthServer} from '@azurecrank/core';
 import {
   Generation,
   type GenerationDependencies,
@@ -35,16 +34,16 @@
 export class Gateway {
   constructor(private readonly options: GatewayOptions) {}
 
-  addRoutes(app: Polka): void {
+  addRoutes(server: HealthServer): void {
     const {gate} = this.options;
-    app.get('/v1/models', (req, res) =>
+    server.addRead('/v1/models', (req, res) =>
       gate.handle(req, res, exchange => this.listModels(exchange)),
     );
-    app.get('/v1/models/:id', (req, res) => {
+    server.addRead('/v1/models/:id', (req, res) => {
       const id = decodeName(String(req.params.id));
       gate.handle(req, res, exchange => this.showModel(exchange, id));
     });
-    app.post('/v1/chat/completions', (req, res) =>
+    server.app.post('/v1/chat/completions', (req, res) =>
       gate.handle(req, res, exchange => this.complete(exchange)),
     );
   }
--- a/packages/azurecrank/src/core/gateway/request_gate.ts
+++ b/packages/azurecrank/src/core/gateway/request_gate.ts
@@ -16,6 +16,9 @@
   type ServiceLimits,
 } from './request_headers.js';
 
+/** Details repeat names that callers sent; a body may be one long name. */
+const MAX_DETAIL_LENGTH = 300;
+
 export interface RequestGateOptions extends BodyLimits {
   readonly instance: InstanceId;
   readonly directory: CallerDirectory;
@@ -56,7 +59,9 @@
     reason: RefusalReason,
     options: {detail?: string; ran?: 'unknown'} = {},
   ): void {
-    this.options.refusals.refuse(exchange, refuse(reason, 'accept', options));
+    const detail = options.detail?.slice(0, MAX_DETAIL_LENGTH);
+    const refusal = refuse(reason, 'accept', {...options, detail});
+    this.options.refusals.refuse(exchange, refusal);
   }
 
   /** Returns the caller, or answers with a refusal. */
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -268,7 +268,7 @@
     };
     const {generations} = this;
     const common = {gate, refusals, directory};
-    new Gateway({...common, generations, generation}).addRoutes(health.app);
+    new Gateway({...common, generations, generation}).addRoutes(health);
     new CallGateway({
       ...common,
       dispatcher: new CallDispatcher(
--- a/packages/bench/test/callers_interface_test.ts
+++ b/packages/bench/test/callers_interface_test.ts
@@ -1,6 +1,7 @@
 import {after, before, describe, it} from 'node:test';
 import {expect} from 'earl';
 import OpenAI from 'openai';
+import {request} from 'undici';
 import {
   CHAT,
   CallersFixture,
@@ -190,6 +191,22 @@
       }
     });
 
+    // Guards against answers and log lines of the size of a request.
+    it('of long names with a short detail', async () => {
+      const refuse = () => callers.sendChat({model: 'm'.repeat(10_000)});
+      const {problem} = await callers.expectRefusal('unknown_model', refuse);
+      expect(problem.detail.length).toBeLessThan(301);
+    });
+
+    it('not of HEAD where GET is served', async () => {
+      const headers = {authorization: 'Bearer courthouse'};
+      for (const path of ['/livez', '/readyz', '/v1/models']) {
+        const url = callers.entry.httpUrl + path;
+        const {statusCode} = await request(url, {method: 'HEAD', headers});
+        expect(statusCode).toEqual(200);
+      }
+    });
+
     it('of other paths and methods', async () => {
       await callers.expectRefusal('unknown_path', () =>
         callers.send('GET', '/v2/nothing'),
--- a/packages/core/src/core/lifecycle/health_server.ts
+++ b/packages/core/src/core/lifecycle/health_server.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import polka, {type Polka, type Request} from 'polka';
+import polka, {type Middleware, type Polka, type Request} from 'polka';
 import {listenOn} from './listen_on.js';
 import type {Metrics} from '../telemetry/metrics.js';
 
@@ -29,20 +29,26 @@
   private server: Server | undefined;
 
   constructor(source: HealthSource) {
-    this.app.get('/livez', (_, res) => {
+    this.addRead('/livez', (_, res) => {
       res.end('ok\n');
     });
-    this.app.get('/readyz', (_, res) => {
+    this.addRead('/readyz', (_, res) => {
       const isReady = source.isReady();
       res.statusCode = isReady ? 200 : 503;
       res.end(isReady ? 'ready\n' : 'not ready\n');
     });
-    this.app.get('/metrics', (_, res) => {
+    this.addRead('/metrics', (_, res) => {
       res.setHeader('content-type', 'text/plain; version=0.0.4');
       res.end(source.metrics.render());
     });
   }
 
+  /** Balancers may use HEAD, for which the runtime leaves the body out. */
+  addRead(path: string, handler: Middleware): void {
+    this.app.get(path, handler);
+    this.app.head(path, handler);
+  }
+
   /** Returns the port it listens on; port 0 takes a free one. */
   async listen(host: string, port: number): Promise<number> {
     const server = createServer((req, res) => {
