Free the slots of entries that are gone

Cause: the head frees a slot only on the release of its entry. An entry that was killed sends none, and its waiting requests took the slots that became free, so the head served nobody any more; a release lost on a silent connection left one slot taken for good. Stages already release their sequences after the orphan timeout; the head had no such rule.

The head frees all slots of an entry that cannot be reached, and slots without a step for the orphan timeout. Entries repeat a step after 1 s, so a request that lives shows within that time.

Before: requests after the loss of an entry ended with deadline_exceeded after 30 s.

--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -16,6 +16,7 @@
   type Logger,
   type Metrics,
   type Open,
+  type PeerAddress,
   type Refusal,
   type Release,
   type RequestId,
@@ -37,6 +38,8 @@
   readonly maxQueuedRequests: number;
   readonly maxQueuedPerWorkspace: number;
   readonly urgentReserveSlots: number;
+  /** Slots without a step for this long are free again. */
+  readonly orphanTimeoutMs: number;
   readonly reservedShares?: ReservedShares;
 }
 
@@ -131,6 +134,20 @@
     this.grantWaiting();
   }
 
+  /**
+   * Frees the slots of an entry that cannot be reached, because no release
+   * will come. Its waiting requests are granted in turn and freed the same way.
+   */
+  freeSlotsOf(entry: PeerAddress): void {
+    this.freeWhere(slot => slot.item.open.entry === entry);
+  }
+
+  /** Frees slots whose release was lost. */
+  releaseOrphans(): void {
+    const oldestMs = performance.now() - this.options.orphanTimeoutMs;
+    this.freeWhere(slot => slot.lastUsedMs < oldestMs);
+  }
+
   /** A step shows that the grant has arrived and how fast tokens flow. */
   noteStep(message: StepMessage): void {
     const slot = this.slots.get(message.request);
@@ -209,6 +226,15 @@
     };
   }
 
+  private freeWhere(isOrphan: (slot: Slot) => boolean): void {
+    const orphans = [...this.slots.values()].filter(isOrphan);
+    for (const slot of orphans) {
+      this.options.metrics.increment('azurecrank_orphan_slots_total');
+      this.free(slot);
+    }
+    if (orphans.length > 0) this.grantWaiting();
+  }
+
   private free(slot: Slot): void {
     const {open} = slot.item;
     this.slots.delete(open.request);
--- a/packages/side/src/core/head/slot.ts
+++ b/packages/side/src/core/head/slot.ts
@@ -52,6 +52,11 @@
     this.lastStepMs = nowMs;
   }
 
+  /** Time of the grant or of the last step, by `performance.now()`. */
+  get lastUsedMs(): number {
+    return this.lastStepMs;
+  }
+
   get request(): RequestId {
     return this.item.request;
   }
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -66,7 +66,7 @@
     };
     this.stage = new Stage(common);
     this.head = new Head(common);
-    this.store.interval(() => this.stage.releaseOrphans(), ORPHAN_SWEEP_MS);
+    this.store.interval(() => this.releaseOrphans(), ORPHAN_SWEEP_MS);
     this.store.interval(() => this.reportLoad(), LOAD_REPORT_MS);
     this.store.interval(() => this.head.tick(), HEAD_TICK_MS);
     this.addGauges();
@@ -118,6 +118,7 @@
 
   onPeerDown(address: PeerAddress): void {
     this.stage.reportPeerDown(address);
+    this.head.freeSlotsOf(address);
   }
 
   receive(message: Message, link: PeerLink): void {
@@ -151,6 +152,11 @@
     this.store[Symbol.dispose]();
   }
 
+  private releaseOrphans(): void {
+    this.stage.releaseOrphans();
+    this.head.releaseOrphans();
+  }
+
   private takeInfo(info: EngineInfo): void {
     this.stage.setInfo(info);
     this.head.setMaxSlots(info.maxSequences);
