--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -55,6 +55,11 @@
     help: 'Tokens that no request waited for, for example of an old attempt',
     owners: ENTRY,
   },
+  azurecrank_stages_moved_total: {
+    kind: 'counter',
+    help: 'Stages whose cache moved on a planned stop',
+    owners: ENTRY,
+  },
   azurecrank_steps_resent_total: {
     kind: 'counter',
     help: 'Steps sent again to a head that may have lost them',
@@ -152,7 +157,22 @@
     help: 'Steps and activations that a stage did not run, by reason',
     owners: SIDE,
     label: 'reason',
-    values: ['stale_attempt', 'duplicate', 'gap'],
+    values: ['stale_attempt', 'duplicate', 'gap', 'released'],
+  },
+  azurecrank_engine_stalls_total: {
+    kind: 'counter',
+    help: 'Steps that the engine did not finish in the expected time',
+    owners: SIDE,
+  },
+  azurecrank_sequences_exported_total: {
+    kind: 'counter',
+    help: 'Caches sent to another server by a leaving one',
+    owners: SIDE,
+  },
+  azurecrank_sequences_imported_total: {
+    kind: 'counter',
+    help: 'Caches taken over from a leaving server',
+    owners: SIDE,
   },
   azurecrank_wrong_range_total: {
     kind: 'counter',
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -86,7 +86,7 @@
       stage: this.stage,
       plan: options.plan,
     });
-    this.store.interval(() => this.stage.releaseOrphans(), ORPHAN_SWEEP_MS);
+    this.store.interval(() => this.releaseOrphans(), ORPHAN_SWEEP_MS);
     this.store.interval(() => this.reportLoad(), LOAD_REPORT_MS);
     this.store.interval(() => this.head.tick(), HEAD_TICK_MS);
     this.addGauges();
@@ -161,6 +161,7 @@
 
   onPeerDown(address: PeerAddress): void {
     this.stage.reportPeerDown(address);
+    this.head.freeSlotsOf(address);
   }
 
   receive(message: Message, link: PeerLink): void {
@@ -200,6 +201,11 @@
     this.store[Symbol.dispose]();
   }
 
+  private releaseOrphans(): void {
+    this.stage.releaseOrphans();
+    this.head.releaseOrphans();
+  }
+
   private takeInfo(info: EngineInfo): void {
     this.stage.setInfo(info);
     this.head.setMaxSlots(info.maxSequences);
