--- a/packages/bench/src/slopes/machine_slopes.ts
+++ b/packages/bench/src/slopes/machine_slopes.ts
@@ -6,9 +6,10 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {createSlope, type Point, type Slope} from './fit.js';
-import {cpuPerSecond, pace, sleep} from './measure.js';
+import {cpuPerSecond, sleep} from './measure.js';
 
-const MESSAGES_PER_S = [100, 200, 400, 800];
+/** Evenly spaced, so that each message wakes the process by itself. */
+const MESSAGES_PER_S = [25, 50, 100, 200];
 const WINDOWS = 3;
 const WINDOW_MS = 1500;
 const MESSAGE = Buffer.alloc(64);
@@ -36,14 +37,14 @@
   await once(socket, 'connect');
   const points: Point[] = [];
   for (const size of MESSAGES_PER_S) {
-    const stop = pace(size, () => socket.write(MESSAGE));
+    const timer = setInterval(() => socket.write(MESSAGE), 1000 / size);
     await sleep(WINDOW_MS);
     const samples: number[] = [];
     for (let index = 0; index < WINDOWS; index++) {
       samples.push(await cpuPerSecond(pid, WINDOW_MS));
     }
     points.push({size, samples});
-    stop();
+    clearInterval(timer);
   }
   socket.destroy();
   return createSlope('machine.echo_cpu', 'messages/s', 'us/s', points);
