--- a/packages/standins/src/engine/engine_standin.ts
+++ b/packages/standins/src/engine/engine_standin.ts
@@ -111,6 +111,10 @@
         busyMs: this.busyMs,
       },
     }));
+    this.route('GET', '/busy', async () => ({
+      status: 200,
+      body: {busyMs: this.busyMs},
+    }));
     this.route('POST', '/v1/orders', async request => {
       const order = parseJson<EngineOrder>(request);
       if (this.info.checksFence && order.fence < this.newestFence) {
