--- a/packages/bench/src/benches/drain.ts
+++ b/packages/bench/src/benches/drain.ts
@@ -193,7 +193,7 @@
       `${[...reasons].join(', ')}; ${waits} retries that may wait ` +
       `(${waitNames.join(', ')}); ` +
       `last new work after ${newWork.map(ms => ms.toFixed(0)).join(', ')} ms ` +
-      `(head, middle, last stage, entry); longest gap ` +
+      '(head, middle, last stage, entry); longest gap ' +
       `${Math.max(...gaps).toFixed(0)} ms, p50 ` +
       `${percentile(gaps, 50).toFixed(0)} ms; longest first token ` +
       `${Math.max(...firsts).toFixed(0)} ms`,
