Expect answers to pings and compose chains when each has lost a stage

Two causes were found by the tests of planned stops and of failures at the same time.

A connection that went silent while nothing was outstanding was never replaced, because the pings on it were not owed an answer. Releases and notices on it were lost for ever: the stopped side waited for its orphan timeout, and the entry never saw the greeting of its next run (red: 'side of stage 1 stops and its notice is lost', 'not within 8000 ms: a-4 works again'). A ping now counts as outstanding until something arrives. A change of the detector itself was tried and dropped: it broke 'never declares a peer down that owes no answer'.

When every chain of the plan had one unusable stage, requests that waited found no chain until their deadline, although usable servers held every range (red: 'streams end whole and keyed calls run at most once'). The router now replaces the stages of such chains.

--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -168,14 +168,20 @@
     }, chain);
   }
 
-  /** Falls back to the whole plan when nothing in the subset is usable. */
+  /**
+   * Falls back to the whole plan when nothing in the subset is usable, and to
+   * chains with replaced stages when every chain of the plan has lost one.
+   */
   private usableChains(model: ModelId): Chain[] {
     const subset = this.subsets.get(model) ?? [];
     const usable = subset.filter(chain => this.isUsable(chain));
     if (usable.length > 0) return usable;
-    return this.options
-      .plan()
-      .chains.filter(chain => chain.model === model && this.isUsable(chain));
+    const all = this.options.plan().chains.filter(c => c.model === model);
+    const whole = all.filter(chain => this.isUsable(chain));
+    if (whole.length > 0) return whole;
+    return all
+      .map(chain => this.withUsableStages(chain))
+      .filter(chain => this.isUsable(chain));
   }
 
   private isUsable({stages}: Chain): boolean {
--- a/packages/core/src/core/wire/peer_link.ts
+++ b/packages/core/src/core/wire/peer_link.ts
@@ -29,6 +29,7 @@
   /** Whether the connection replaces one that was lost with open answers. */
   isRedial = false;
   readonly detector: SilenceDetector;
+  private isAwaitingPong = false;
   private readonly unanswered = new Map<string, Unanswered>();
 
   constructor(
@@ -95,9 +96,22 @@
     for (const message of this.unsent.splice(0)) connection.send(message);
   }
 
+  /**
+   * A ping is owed an answer. Without this, a connection that goes silent
+   * while nothing else is outstanding would lose releases and notices for ever.
+   */
+  notePing(): void {
+    if (this.isAwaitingPong) return;
+    this.isAwaitingPong = true;
+    this.notify('sent_expecting_answer');
+  }
+
   noteReceived(): void {
     this.isRedial = false;
     this.notify('received');
+    if (!this.isAwaitingPong) return;
+    this.isAwaitingPong = false;
+    this.notify('settled');
   }
 
   private notify(type: 'received' | 'sent_expecting_answer' | 'settled'): void {
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -257,6 +257,7 @@
         if (!link.connection) return;
         const seq = ++this.pingSeq;
         link.send({type: 'ping', seq, ...this.handlers.versions()});
+        link.notePing();
         return;
       }
       case 'probe':
