--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -184,6 +184,11 @@
     help: 'Replays refused because the kept outputs were trimmed',
     owners: SIDE,
   },
+  azurecrank_orphan_slots_total: {
+    kind: 'counter',
+    help: 'Slots freed because their entry is gone',
+    owners: SIDE,
+  },
   azurecrank_orphans_released_total: {
     kind: 'counter',
     help: 'Sequences released because no message came for them',
