Measure steps of a stage in a closed loop

Cause: the sender ran ahead of the stage, so positions were dropped as gaps; the next stage did not answer pings, so the connection was replaced every second; and two runs used the same requests, which the stage answered from its log. Steps are now counted at the engine.

--- a/packages/bench/src/slopes/head_slopes.ts
+++ b/packages/bench/src/slopes/head_slopes.ts
@@ -1,5 +1,5 @@
 /** Slopes of a side process, measured from outside the process. */
-import type {Message, PeerAddress} from '@azurecrank/core';
+import type {Message, PeerAddress, RequestId} from '@azurecrank/core';
 import type {Fleet, RunningProcess} from '../fleet/fleet.js';
 import {createSlope, type Point, type Slope} from './fit.js';
 import {
@@ -31,7 +31,10 @@
 const SETTLE_MS = 1000;
 const IDLE_PING_MS = 2000;
 const BATCH_MS = 4;
-const SEQUENCES = 50;
+const SEQUENCES = 105;
+
+/** Sequences whose last position has left the measured stage. */
+const idle = new Set<RequestId>();
 const ACTIVATION_STEPS_PER_S = 200;
 
 async function windows(pid: number): Promise<number[]> {
@@ -71,6 +74,7 @@
 interface Part {
   readonly fleet: Fleet;
   readonly side: RunningProcess;
+  readonly engine: RawEngine;
 }
 
 async function withSide(
@@ -85,7 +89,7 @@
   });
   await sleep(SETTLE_MS);
   // Awaited, so that the processes are not ended before the measurement.
-  return await run({fleet, side});
+  return await run({fleet, side, engine});
 }
 
 export function headSlopes(): Promise<Slope[]> {
@@ -179,22 +183,28 @@
   return withSide(1, ({side}) => linkSlopes(side, 'stage'));
 }
 
+/** Without the pong the stage would replace the connection. */
+function takeOutput(message: Message, peer: RawPeer): void {
+  if (message.type === 'ping') peer.send({...message, type: 'pong'});
+  if (message.type === 'activation') idle.add(message.request);
+}
+
 /** A stage in the middle of a chain of 8. */
 export function stageSlopes(): Promise<Slope[]> {
-  return withSide(1, async ({side}) => {
-    using next = await new RawListener('next', () => undefined).listen();
+  return withSide(1, async ({side, engine}) => {
+    using next = await new RawListener('next', takeOutput).listen();
     const {address} = next;
     const log = await logPoints(side, address);
     const steps: Point[] = [];
     for (const size of STEPS_PER_S) {
-      const samples = await cpuOfSteps(side, address, size, LOG_BYTES);
-      steps.push({size, samples});
+      const run = await cpuOfSteps(side, engine, address, size, LOG_BYTES);
+      steps.push({size: run.stepsPerS, samples: run.samples});
     }
     const bytes: Point[] = [];
     const perSecond = ACTIVATION_STEPS_PER_S;
     for (const size of ACTIVATION_BYTES) {
-      const samples = await cpuOfSteps(side, address, perSecond, size);
-      bytes.push({size, samples: samples.map(us => us / perSecond)});
+      const run = await cpuOfSteps(side, engine, address, perSecond, size);
+      bytes.push({size, samples: run.samples.map(us => us / run.stepsPerS)});
     }
     return [
       createSlope('stage.log_bytes', 'tokens of 1 KB', 'B', log),
@@ -226,7 +236,11 @@
   return Number(/^azurecrank_activation_log_bytes (\d+)/m.exec(text)?.[1]);
 }
 
-/** Sends one position of each sequence in turn; `stop` returns the count. */
+/**
+ * Sends a position of a sequence once its last one has left the stage, as a
+ * stage before does; positions further ahead would be dropped as gaps.
+ * `stop` returns the count.
+ */
 async function startSteps(
   side: RunningProcess,
   next: PeerAddress,
@@ -239,10 +253,19 @@
   const peer = await connectRaw(address, hello, () => undefined);
   const chain = createChain('m', stage => (stage === 1 ? address : next));
   const data = Buffer.alloc(bytes, 7);
+  const positions = new Map<RequestId, number>();
+  idle.clear();
+  for (let index = 0; index < SEQUENCES; index++) {
+    idle.add(`${name}-${index}` as RequestId);
+  }
   let sent = 0;
   const stop = pace(perSecond, () => {
-    const position = Math.floor(sent / SEQUENCES);
-    const request = `${name}-${sent++ % SEQUENCES}`;
+    const [request] = idle;
+    if (request === undefined) return;
+    idle.delete(request);
+    const position = positions.get(request) ?? 0;
+    positions.set(request, position + 1);
+    sent++;
     peer.send({
       type: 'activation',
       request,
@@ -264,16 +287,23 @@
   return {stop: end};
 }
 
+/** The rate is counted at the engine, because the sender may be behind. */
 async function cpuOfSteps(
   side: RunningProcess,
+  engine: RawEngine,
   next: PeerAddress,
   perSecond: number,
   bytes: number,
-): Promise<number[]> {
-  const name = `cpu-${perSecond}-${bytes}`;
+): Promise<{samples: number[]; stepsPerS: number}> {
+  // A name of its own, because the stage answers known positions from its log.
+  const name = `cpu-${engine.steps}-${perSecond}-${bytes}`;
   const sender = await startSteps(side, next, name, perSecond, bytes);
   await sleep(SETTLE_MS);
+  const firstStep = engine.steps;
+  const startMs = performance.now();
   const samples = await windows(side.program.pid);
+  const seconds = (performance.now() - startMs) / 1000;
+  const stepsPerS = (engine.steps - firstStep) / seconds;
   sender.stop();
-  return samples;
+  return {samples, stepsPerS};
 }
