Ping a busy connection only when it is quiet

Cause: docs/CAPACITY.md finds control traffic of an entry at 45 KB/s against 6 KB/s, most of it pings every 200 ms on each busy link although tokens flow. Change: a ping is due after 200 ms without traffic while an answer is due, and at least every 2 s, because versions travel on pings; the entry settles a step when its token arrives. Ruled out: settled messages as evidence for the connection, since timeouts and cancels settle too and would hide a dead one. The effect on bytes per second was not measured yet.

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -314,6 +314,8 @@
       return this.deps.metrics.increment('azurecrank_tokens_dropped_total');
     }
     if (this.generated.length === 0) this.observe('azurecrank_first_token_ms');
+    const head = this.chain?.stages[0];
+    if (head) this.settle(head.address);
     this.generated.push(message.token);
     this.retries.clear();
     this.sink.onToken(message.text);
--- a/packages/core/src/core/detection/silence_detector.ts
+++ b/packages/core/src/core/detection/silence_detector.ts
@@ -94,9 +94,14 @@
   guards: {
     silentTooLong: ({outstanding, silentSinceMs, options}, {nowMs}) =>
       outstanding > 0 && nowMs - silentSinceMs > options.suspectAfterMs,
-    pingDue: ({outstanding, pingedAtMs, options}, {nowMs}) =>
-      nowMs - pingedAtMs >=
-      (outstanding > 0 ? options.busyPingMs : options.idlePingMs),
+    // Traffic shows that the connection works, so a busy one is pinged only
+    // when an answer is late; but versions travel on pings, so each connection
+    // has one in every idle period.
+    pingDue: ({outstanding, silentSinceMs, pingedAtMs, options}, {nowMs}) => {
+      if (nowMs - pingedAtMs >= options.idlePingMs) return true;
+      const quietMs = nowMs - Math.max(silentSinceMs, pingedAtMs);
+      return outstanding > 0 && quietMs >= options.busyPingMs;
+    },
     isLast: ({outstanding}) => outstanding <= 1,
     probeTimedOut: ({probeAtMs, options}, {nowMs}) =>
       nowMs - probeAtMs > options.probeTimeoutMs,
