Serve without the registration in an outage; report prompt prefixes

Cause: a side process that was replaced while the key-value service was down waited for its registration and served nothing; load reports carried no prefixes and cleared what entries had noted, so locality lasted one second. Change: registration goes on in the background after 3 s; heads report the prefixes of granted prompts and of the engine's cache events, at most 16. Ruled out: serving before the registration always, since the first plan of a fleet would then be made from parts.

--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -6,10 +6,13 @@
   ConcurrencyLimit,
   ExpectedOutput,
   FairQueue,
+  PrefixIndex,
   RANKS,
   SlotRules,
   canMeetDeadline,
+  prefixHashes,
   refuse,
+  toId,
   type Cancel,
   type Engine,
   type LoadReport,
@@ -21,6 +24,7 @@
   type Release,
   type RequestId,
   type ReservedShares,
+  type ServerId,
   type ServiceId,
   type SlotState,
   type StepMessage,
@@ -29,6 +33,9 @@
 import {RateMeter} from './rate_meter.js';
 import {Slot, toQueuedOpen, type QueuedOpen} from './slot.js';
 
+/** Bounds the size of load reports, which count as control traffic. */
+const REPORTED_PREFIXES = 16;
+
 export interface HeadOptions {
   readonly engine: Engine;
   readonly transport: StageTransport;
@@ -47,6 +54,9 @@
   private readonly queue: FairQueue<QueuedOpen>;
   private readonly slots = new Map<RequestId, Slot>();
   private readonly rules: SlotRules;
+  private readonly prefixes = new PrefixIndex();
+  private readonly own: ServerId;
+  private lastCacheSeq = 0;
   private readonly outputs = new ExpectedOutput<ServiceId>();
   private readonly rate = new RateMeter();
   private limit = new ConcurrencyLimit({min: 1, max: 1});
@@ -60,6 +70,7 @@
       reservedShares: options.reservedShares,
     });
     this.rules = new SlotRules(options);
+    this.own = toId<ServerId>(options.node);
   }
 
   setReservedShares(reserved: ReservedShares): void {
@@ -84,7 +95,7 @@
       running: this.slots.size,
       limit: this.limit.limit,
       stepMs: this.limit.stepMs,
-      prefixes: [],
+      prefixes: this.prefixes.latest(this.own, REPORTED_PREFIXES),
     };
   }
 
@@ -126,6 +137,20 @@
     this.grantWaiting();
   }
 
+  /** Learns from the engine which prompt prefixes it holds. */
+  async readCacheEvents(): Promise<void> {
+    try {
+      const events = await this.options.engine.cacheEvents(this.lastCacheSeq);
+      const seqs = events.map(({seq}) => seq);
+      this.lastCacheSeq = Math.max(this.lastCacheSeq, ...seqs);
+      this.prefixes.applyEvents(this.own, events, performance.now());
+    } catch (error) {
+      const {node} = this.options;
+      const fields = {step: 'route', peer: node, cause: String(error)};
+      this.options.logger.debug('engine sent no cache events', fields);
+    }
+  }
+
   /** Returns whether the request was waiting and will not be granted. */
   cancel(message: Cancel): boolean {
     return this.queue.remove(message.request) !== undefined;
@@ -201,6 +226,8 @@
       if (!item) break;
       const slot = new Slot(item, this.queue.usedReservedShare(item), nowMs);
       this.slots.set(item.request, slot);
+      const hashes = prefixHashes(item.open.prompt);
+      this.prefixes.noteSent(this.own, hashes, nowMs);
       this.options.metrics.observeMs(
         'azurecrank_head_wait_ms',
         nowMs - item.enqueuedAtMs,
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -48,6 +48,9 @@
 /** Period of the reports to the entries that follow this head. */
 const LOAD_REPORT_MS = 1000;
 
+/** Period at which the engine's cache events are read. */
+const CACHE_EVENTS_MS = 2000;
+
 /** Period at which waiting requests that are too late are refused. */
 const HEAD_TICK_MS = 50;
 
@@ -91,6 +94,10 @@
     this.store.interval(() => this.releaseOrphans(), ORPHAN_SWEEP_MS);
     this.store.interval(() => this.reportLoad(), LOAD_REPORT_MS);
     this.store.interval(() => this.head.tick(), HEAD_TICK_MS);
+    this.store.interval(
+      () => void this.head.readCacheEvents(),
+      CACHE_EVENTS_MS,
+    );
     this.addGauges();
   }
 
--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -35,6 +35,9 @@
 
 const DRAIN_CHECK_MS = 50;
 
+/** Longest wait for the registration before the process serves without it. */
+const REGISTRATION_WAIT_MS = 3000;
+
 /** Entries that do not answer `leaving` for this long are taken for gone. */
 const NOTICE_TIMEOUT_MS = 3000;
 
@@ -97,12 +100,7 @@
     });
     const engine = await this.startModel();
     this.startService();
-    const registration = await registerServer(
-      this.keyValue,
-      this.draftRegistration('live', engine),
-      this.logger,
-    );
-    this.model?.followPlan(registration);
+    const registered = this.register(engine);
     this.pauses.onPause(pausedMs => this.model?.notePause(pausedMs));
     for (const peer of this.settings.seedPeers) {
       this.peers.link(peer as PeerAddress);
@@ -118,6 +116,7 @@
       this.logger.info('documents in force', {...this.documents.versions()});
     });
     this.documents.start();
+    await Promise.race([registered, delay(REGISTRATION_WAIT_MS)]);
     this.lifecycle.send({type: 'configured'});
     this.logger.info('ready', {address: this.peers.address});
     return port;
@@ -220,6 +219,19 @@
     );
   }
 
+  /**
+   * Serving does not need the registration, only orders to the engine do: a
+   * process that is replaced in an outage takes work under the plan in force.
+   */
+  private async register(engine: EngineInfo | undefined): Promise<void> {
+    const registration = await registerServer(
+      this.keyValue,
+      this.draftRegistration('live', engine),
+      this.logger,
+    );
+    this.model?.followPlan(registration);
+  }
+
   private async startModel(): Promise<EngineInfo | undefined> {
     const {engineUrl} = this.settings;
     if (!engineUrl) return undefined;
@@ -265,3 +277,7 @@
     this.service?.receive(message, link);
   }
 }
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs).unref());
+}
