--- a/packages/core/src/core/placement/plan_chains.ts
+++ b/packages/core/src/core/placement/plan_chains.ts
@@ -95,7 +95,30 @@
     add(group.stages);
   }
   const result = rebuildSome(chains, held, model, links, options, ids);
-  return result.sort((a, b) => compareIds(a.chain, b.chain));
+  return settle(result, held, model, links, options);
+}
+
+/** Rounds after which a plan is taken as it is. */
+const MAX_SETTLE_ROUNDS = 3;
+
+/**
+ * Replaces slow stages of new chains as the next planning would. Otherwise a
+ * change that does not concern a chain would be the occasion to alter it.
+ */
+function settle(
+  formed: readonly Chain[],
+  servers: readonly EngineServer[],
+  model: PlacementModel,
+  links: LinkTime,
+  options: PlanningOptions,
+): Chain[] {
+  let chains = [...formed].sort((a, b) => compareIds(a.chain, b.chain));
+  for (let round = 0; round < MAX_SETTLE_ROUNDS; round++) {
+    const next = repairChains({chains, servers, model, links, options});
+    if (JSON.stringify(next) === JSON.stringify(chains)) break;
+    chains = next;
+  }
+  return chains;
 }
 
 function rebuildSome(
