Share the message transport; split types out of long modules

Change: MessageTransport and withStage are in core; types of a generation and the inputs of a stage have modules of their own; placeholder exports are gone.

--- a/packages/azurecrank/src/core/gateway/chat_response.ts
+++ b/packages/azurecrank/src/core/gateway/chat_response.ts
@@ -1,7 +1,7 @@
 /** Writes answers of the chat completions API, streamed and whole. */
 import type {ServerResponse} from 'node:http';
 import type {Refusal, RequestId} from '@azurecrank/core';
-import type {GenerationSink} from '../generation/generation.js';
+import type {GenerationSink} from '../generation/generation_types.js';
 import type {Exchange} from './exchange.js';
 import {toProblemBody, type RefusalSender} from './refusal_sender.js';
 
--- a/packages/azurecrank/src/core/gateway/gateway.ts
+++ b/packages/azurecrank/src/core/gateway/gateway.ts
@@ -1,11 +1,11 @@
 /** Chat completions and models for callers (OpenAI-compatible). */
 import {refuse, type HealthServer} from '@azurecrank/core';
-import {
-  Generation,
-  type GenerationDependencies,
-  type GenerationRequest,
-  type GenerationSink,
-} from '../generation/generation.js';
+import {Generation} from '../generation/generation.js';
+import type {
+  GenerationDependencies,
+  GenerationRequest,
+  GenerationSink,
+} from '../generation/generation_types.js';
 import type {GenerationTable} from '../generation/generation_table.js';
 import type {
   Caller,
--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -9,100 +9,29 @@
   loadChartDefinition,
   nextAttempt,
   refuse,
+  withStage,
   type AttemptId,
   type Chain,
-  type ChainStage,
   type ChartEvent,
   type Gap,
   type Granted,
   type Imported,
-  type Logger,
   type Message,
-  type Metrics,
-  type ModelId,
   type Open,
   type PeerAddress,
   type RanState,
-  type Rank,
   type Refusal,
   type Refused,
-  type RequestId,
   type RetryReason,
   type ServerId,
-  type ServiceId,
   type StageFailed,
   type TokenMessage,
-  type WorkspaceId,
 } from '@azurecrank/core';
-
-export interface GenerationRequest {
-  readonly request: RequestId;
-  readonly workspace: WorkspaceId;
-  readonly weight: number;
-  readonly rank: Rank;
-  readonly service: ServiceId;
-  readonly model: ModelId;
-  readonly prompt: string;
-  readonly maxTokens: number;
-  /** Times by `performance.now()`. */
-  readonly deadlineAtMs: number;
-  readonly firstTokenDeadlineAtMs: number;
-}
-
-/** Receives the answer; after `onEnd` or `onRefused` nothing follows. */
-export interface GenerationSink {
-  onToken(text: string): void;
-  onEnd(finish: 'stop' | 'length', promptTokens: number): void;
-  onRefused(refusal: Refusal): void;
-}
-
-/** How a generation reaches the side processes. */
-export abstract class GenerationTransport {
-  /** Address at which sides reach this entry. */
-  abstract get entry(): PeerAddress;
-  abstract sendExpecting(
-    address: PeerAddress,
-    key: string,
-    message: Message,
-  ): void;
-  abstract settle(address: PeerAddress, key: string): void;
-  abstract send(address: PeerAddress, message: Message): void;
-}
-
-/** Choice of chains and permission for retries. */
-export abstract class GenerationPolicy {
-  abstract chooseChain(
-    request: GenerationRequest,
-    excluded: ReadonlySet<ServerId>,
-  ): Chain | undefined;
-  /** Returns the chain with stage `stage` on another server, if there is one. */
-  abstract replaceStage(
-    chain: Chain,
-    stage: number,
-    excluded: ReadonlySet<ServerId>,
-  ): Chain | undefined;
-  /** Whether a retry for this reason is allowed now. */
-  abstract allowRetry(
-    reason: RetryReason,
-    ran: RanState,
-    retriesForReason: number,
-    remainingMs: number,
-  ): boolean;
-  abstract recordSuccess(): void;
-  /** A server has refused work because it is leaving. */
-  abstract noteLeaving(server: ServerId): void;
-  /** A server cannot be reached by the stage before it. */
-  abstract noteLost(server: ServerId): void;
-  /** Returns the chain with usable servers after its head, where there are. */
-  abstract withUsableStages(chain: Chain): Chain;
-}
-
-export interface GenerationDependencies {
-  readonly transport: GenerationTransport;
-  readonly policy: GenerationPolicy;
-  readonly metrics: Metrics;
-  readonly logger: Logger;
-}
+import type {
+  GenerationDependencies,
+  GenerationRequest,
+  GenerationSink,
+} from './generation_types.js';
 
 const REQUEST_CHART = new Chart<object, ChartEvent>(
   loadChartDefinition('request'),
@@ -267,7 +196,7 @@
       deadlineMs: Math.max(0, deadlineAtMs - nowMs),
       firstTokenDeadlineMs: Math.max(0, firstTokenAtMs - nowMs),
       chain,
-      entry: this.deps.transport.entry,
+      entry: this.deps.transport.address,
     };
   }
 
@@ -479,7 +408,7 @@
       position,
       tokens: all.slice(position),
       rank: this.spec.rank,
-      entry: this.deps.transport.entry,
+      entry: this.deps.transport.address,
       cacheSince: this.cacheSince,
       chain,
       stage: 0,
@@ -570,13 +499,6 @@
   }
 }
 
-function withStage(chain: Chain, index: number, stage: ChainStage): Chain {
-  const stages = chain.stages.map((current, position) =>
-    position === index ? stage : current,
-  );
-  return {...chain, stages};
-}
-
 function retryReasonOf({reason}: StageFailed): RetryReason {
   return reason === 'leaving' ? 'server_leaving' : reason;
 }
--- a/packages/azurecrank/src/core/process/entry_process.ts
+++ b/packages/azurecrank/src/core/process/entry_process.ts
@@ -14,6 +14,7 @@
   Logger,
   METRICS,
   Metrics,
+  PeerMessageTransport,
   PeerNode,
   createInstanceId,
   declareProcessMetrics,
@@ -40,7 +41,6 @@
 import {LeaseHolder} from '../placement/lease_holder.js';
 import {PlacementRunner} from '../placement/placement_runner.js';
 import {ChainRouter} from '../routing/chain_router.js';
-import {PeerTransport} from './peer_transport.js';
 
 const DRAIN_CHECK_MS = 50;
 const PLACEMENT_PERIOD_MS = 1000;
@@ -286,7 +286,7 @@
     const {help} = METRICS.azurecrank_requests_in_flight;
     metrics.gauge('azurecrank_requests_in_flight', help, () => gate.inFlight);
     const generation = {
-      transport: new PeerTransport(this.peers),
+      transport: new PeerMessageTransport(this.peers),
       policy: router,
       metrics,
       logger,
--- a/packages/azurecrank/src/core/routing/chain_router.ts
+++ b/packages/azurecrank/src/core/routing/chain_router.ts
@@ -11,8 +11,8 @@
   findReplacement,
   prefixHashes,
   rankIndex,
+  withStage,
   type Chain,
-  type ChainStage,
   type LoadReport,
   type ModelId,
   type PeerAddress,
@@ -25,7 +25,7 @@
 import {
   GenerationPolicy,
   type GenerationRequest,
-} from '../generation/generation.js';
+} from '../generation/generation_types.js';
 
 export interface ChainRouterOptions {
   readonly node: string;
@@ -241,10 +241,3 @@
 function costTokens({prompt, maxTokens}: GenerationRequest): number {
   return prompt.length / CHARS_PER_TOKEN + maxTokens;
 }
-
-function withStage(chain: Chain, index: number, stage: ChainStage): Chain {
-  const stages = chain.stages.map((current, position) =>
-    position === index ? stage : current,
-  );
-  return {...chain, stages};
-}
--- a/packages/azurecrank/src/index.ts
+++ b/packages/azurecrank/src/index.ts
@@ -1,11 +1,10 @@
 /** Public surface of the entry process, for tests. */
 export * from './core/generation/generation.js';
+export * from './core/generation/generation_types.js';
 export * from './core/generation/generation_table.js';
 export * from './core/gateway/caller_directory.js';
 export * from './core/gateway/gateway.js';
 export * from './core/process/entry_process.js';
-/** Placeholder until the package has a public surface. */
-export const PACKAGE = 'azurecrank';
 export * from './core/calls/call_dispatcher.js';
 export * from './core/calls/call_retry.js';
 export * from './core/calls/call_transport.js';
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -3,8 +3,6 @@
 export * from './fleet/fleet.js';
 export * from './fleet/chat_client.js';
 export * from './fleet/operator_file.js';
-/** Placeholder until the package has a public surface. */
-export const PACKAGE = 'bench';
 export * from './figures/claims.js';
 export * from './fleet/call_client.js';
 export * from './fleet/model_load.js';
--- a/packages/bench/test/in_memory_fleet.ts
+++ b/packages/bench/test/in_memory_fleet.ts
@@ -5,6 +5,7 @@
 import {
   FIRST_ATTEMPT,
   Logger,
+  MessageTransport,
   Metrics,
   toId,
   type Chain,
@@ -19,13 +20,8 @@
   type ServiceId,
   type WorkspaceId,
 } from '@azurecrank/core';
-import {Stage, StageTransport} from '@azurecrank/side';
-import {
-  Generation,
-  GenerationPolicy,
-  GenerationTransport,
-  type GenerationRequest,
-} from 'azurecrank';
+import {Stage} from '@azurecrank/side';
+import {Generation, GenerationPolicy, type GenerationRequest} from 'azurecrank';
 import {InMemoryEngine} from './in_memory_engine.js';
 
 export const LAYERS = 6;
@@ -85,7 +81,7 @@
   return `${from}>${to}#${key}`;
 }
 
-class NetworkTransport extends GenerationTransport implements StageTransport {
+class NetworkTransport extends MessageTransport {
   constructor(
     private readonly network: LossyNetwork,
     private readonly own: PeerAddress,
@@ -93,8 +89,8 @@
     super();
   }
 
-  override get entry(): PeerAddress {
-    return ENTRY;
+  override get address(): PeerAddress {
+    return this.own;
   }
 
   override send(to: PeerAddress, message: Message): void {
--- /dev/null
+++ b/packages/core/src/core/wire/message_transport.ts
@@ -0,0 +1,50 @@
+/** How modules of a process send messages to other processes. */
+import type {PeerAddress} from '../ids/ids.js';
+import type {Message} from './messages.js';
+import type {PeerNode} from './peer_node.js';
+
+export abstract class MessageTransport {
+  /** Address at which other processes reach this one. */
+  abstract get address(): PeerAddress;
+
+  abstract send(address: PeerAddress, message: Message): void;
+
+  /**
+   * Sends a message that is safe to repeat, and expects signs of life of the
+   * receiver until the message is settled.
+   */
+  abstract sendExpecting(
+    address: PeerAddress,
+    key: string,
+    message: Message,
+  ): void;
+
+  abstract settle(address: PeerAddress, key: string): void;
+}
+
+/** Transport over the connections of this process. */
+export class PeerMessageTransport extends MessageTransport {
+  constructor(private readonly peers: PeerNode) {
+    super();
+  }
+
+  override get address(): PeerAddress {
+    return this.peers.address;
+  }
+
+  override send(address: PeerAddress, message: Message): void {
+    this.peers.send(address, message);
+  }
+
+  override sendExpecting(
+    address: PeerAddress,
+    key: string,
+    message: Message,
+  ): void {
+    this.peers.sendExpecting(address, key, message);
+  }
+
+  override settle(address: PeerAddress, key: string): void {
+    this.peers.settle(address, key);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -68,3 +68,5 @@
 export * from './core/admission/concurrency_limit.js';
 export * from './core/admission/slot_rules.js';
 export * from './core/admission/deadline.js';
+export * from './core/wire/message_transport.js';
+export * from './core/routing/with_stage.js';
--- a/packages/side/src/core/handover/handover.ts
+++ b/packages/side/src/core/handover/handover.ts
@@ -4,24 +4,23 @@
  */
 import {
   findReplacement,
-  type Chain,
+  withStage,
   type ChainStage,
   type ImportKv,
   type Imported,
   type Logger,
+  type MessageTransport,
   type Metrics,
-  type PeerAddress,
   type Plan,
   type RequestId,
   type ServerId,
 } from '@azurecrank/core';
-import type {Movable, Stage, StageTransport} from '../sequences/stage.js';
+import type {Movable, Stage} from '../sequences/stage.js';
 
 export interface HandoverOptions {
   readonly server: ServerId;
-  readonly address: () => PeerAddress;
   readonly stage: Stage;
-  readonly transport: StageTransport;
+  readonly transport: MessageTransport;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly plan: () => Plan;
@@ -71,7 +70,7 @@
     }
     this.options.metrics.increment('azurecrank_sequences_imported_total');
     const {server} = this.options;
-    const address = this.options.address();
+    const {address} = this.options.transport;
     const imported: Imported = {
       type: 'imported',
       request,
@@ -127,10 +126,3 @@
     this.options.logger.warn(message, fields);
   }
 }
-
-function withStage(chain: Chain, index: number, stage: ChainStage): Chain {
-  const stages = chain.stages.map((current, position) =>
-    position === index ? stage : current,
-  );
-  return {...chain, stages};
-}
--- a/packages/side/src/core/head/head.ts
+++ b/packages/side/src/core/head/head.ts
@@ -17,6 +17,7 @@
   type Engine,
   type LoadReport,
   type Logger,
+  type MessageTransport,
   type Metrics,
   type Open,
   type PeerAddress,
@@ -29,7 +30,6 @@
   type SlotState,
   type StepMessage,
 } from '@azurecrank/core';
-import type {StageTransport} from '../sequences/stage.js';
 import {RateMeter} from './rate_meter.js';
 import {Slot, toQueuedOpen, type QueuedOpen} from './slot.js';
 
@@ -38,7 +38,7 @@
 
 export interface HeadOptions {
   readonly engine: Engine;
-  readonly transport: StageTransport;
+  readonly transport: MessageTransport;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly node: string;
--- a/packages/side/src/core/process/model_server.ts
+++ b/packages/side/src/core/process/model_server.ts
@@ -4,6 +4,7 @@
   DisposableStore,
   HttpEngine,
   HttpWeightStore,
+  PeerMessageTransport,
   type EngineInfo,
   type KeyValueService,
   type LoadReport,
@@ -25,7 +26,6 @@
 import {Head} from '../head/head.js';
 import {Reconciler} from '../reconcile/reconciler.js';
 import {Stage} from '../sequences/stage.js';
-import {PeerTransport} from './peer_transport.js';
 
 export interface ModelServerOptions {
   readonly settings: SideSettings;
@@ -77,7 +77,7 @@
     const common = {
       ...settings,
       engine: this.engine,
-      transport: new PeerTransport(peers),
+      transport: new PeerMessageTransport(peers),
       metrics,
       logger,
       node: settings.server,
@@ -87,7 +87,6 @@
     this.handover = new Handover({
       ...common,
       server: toId<ServerId>(settings.server),
-      address: () => peers.address,
       stage: this.stage,
       plan: options.plan,
     });
--- a/packages/side/src/core/sequences/stage.ts
+++ b/packages/side/src/core/sequences/stage.ts
@@ -1,7 +1,6 @@
 /** The stage that this side process and its engine form in model chains. */
 import {
   rankIndex,
-  type Activation,
   type Chain,
   type Engine,
   type EngineInfo,
@@ -9,7 +8,7 @@
   type EngineStep,
   type ImportKv,
   type Logger,
-  type Message,
+  type MessageTransport,
   type Metrics,
   type PeerAddress,
   type Release,
@@ -18,7 +17,6 @@
   type RequestId,
   type Reroute,
   type StageOutput,
-  type StepMessage,
 } from '@azurecrank/core';
 import {ActivationLog, type LoggedOutput} from './activation_log.js';
 import {
@@ -27,20 +25,16 @@
   type SequenceRoute,
 } from './sequence_chart.js';
 import {ReleasedRequests} from './released_requests.js';
+import {
+  countOf,
+  endOf,
+  isSameRange,
+  toEngineStep,
+  toRoute,
+  type Input,
+} from './stage_input.js';
 import {StageRunner} from './stage_runner.js';
 
-/** How the stage reaches other processes. */
-export abstract class StageTransport {
-  /** Sends, and expects that the receiver shows signs of life until settled. */
-  abstract sendExpecting(
-    address: PeerAddress,
-    key: string,
-    message: Message,
-  ): void;
-  abstract settle(address: PeerAddress, key: string): void;
-  abstract send(address: PeerAddress, message: Message): void;
-}
-
 /** A sequence that may be moved to another server. */
 export interface Movable {
   readonly request: RequestId;
@@ -49,7 +43,7 @@
 
 export interface StageOptions {
   readonly engine: Engine;
-  readonly transport: StageTransport;
+  readonly transport: MessageTransport;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly node: string;
@@ -57,8 +51,6 @@
   readonly orphanTimeoutMs: number;
 }
 
-type Input = StepMessage | Activation;
-
 type TokenOutput = Extract<EngineOutput, {kind: 'token'}>;
 
 export class Stage implements Disposable {
@@ -504,53 +496,3 @@
     this.options.metrics.increment('azurecrank_inputs_dropped_total', {reason});
   }
 }
-
-function countOf(input: Input): number {
-  return input.type === 'step' ? input.tokens.length : input.count;
-}
-
-function endOf(input: Input): number {
-  return input.position + countOf(input);
-}
-
-function toRoute(message: Input | ImportKv): SequenceRoute {
-  const {attempt, cacheSince, chain, stage, entry, rank} = message;
-  return {attempt, cacheSince, chain, stage, entry, rank};
-}
-
-function isSameRange(a: EngineInfo, b: EngineInfo): boolean {
-  return (
-    a.model === b.model &&
-    a.modelVersion === b.modelVersion &&
-    a.firstLayer === b.firstLayer &&
-    a.endLayer === b.endLayer
-  );
-}
-
-function toEngineStep(
-  sequence: string,
-  input: Input,
-  skip: number,
-  priority: number,
-): EngineStep {
-  const position = input.position + skip;
-  if (input.type === 'step') {
-    const tokens = input.tokens.slice(skip);
-    return {
-      sequence,
-      position,
-      count: tokens.length,
-      tokens,
-      priority,
-    };
-  }
-  const bytesPerPosition = input.data.length / input.count;
-  const data = input.data.subarray(skip * bytesPerPosition);
-  return {
-    sequence,
-    position,
-    count: input.count - skip,
-    data,
-    priority,
-  };
-}
--- a/packages/side/src/index.ts
+++ b/packages/side/src/index.ts
@@ -6,8 +6,6 @@
 export * from './core/head/head.js';
 export * from './core/registration/registration.js';
 export * from './core/process/side_process.js';
-/** Placeholder until the package has a public surface. */
-export const PACKAGE = 'side';
 export * from './core/calls/call_handler.js';
 export * from './core/calls/call_slots.js';
 export * from './core/calls/seen_calls.js';
