Publish cache events late and with gaps in the engine stand-in

Cause: the stand-in published none, so heads learned prefixes only from their own grants and the late and gapped events of real engines were not met. Measured: 1 test, red against the stand-in without events by construction (it waits for an event). Conclusion: heads apply the events; their effect on locality is not measured.

--- a/packages/standins/src/engine/engine_standin.ts
+++ b/packages/standins/src/engine/engine_standin.ts
@@ -1,11 +1,12 @@
 /** Stand-in for a model engine that holds a range of layers. */
 import {Decoder, Encoder} from 'cbor-x';
-import type {
-  CacheEvent,
-  EngineInfo,
-  EngineOrder,
-  EngineOutput,
-  EngineStep,
+import {
+  prefixHashes,
+  type CacheEvent,
+  type EngineInfo,
+  type EngineOrder,
+  type EngineOutput,
+  type EngineStep,
 } from '@azurecrank/core';
 import {StandinServer, delay, parseJson} from '../http/standin_server.js';
 import {runLayers, toText, toToken, tokenize} from './reference_model.js';
@@ -15,6 +16,19 @@
 const BYTES_PER_POSITION = 4;
 const LOAD_REPORT_LAG_MS = 500;
 
+/** Cache events are published late, and each seventh one is lost. */
+const CACHE_EVENT_LAG_MS = 500;
+const LOST_EVENT_INTERVAL = 7;
+
+/** Prompt prefixes that the cache holds before it evicts the oldest. */
+const MAX_PREFIXES = 256;
+const MAX_EVENTS = 1000;
+
+interface TimedEvent {
+  readonly event: CacheEvent;
+  readonly atMs: number;
+}
+
 interface Sequence {
   states: Uint32Array;
   nextPosition: number;
@@ -33,7 +47,9 @@
   private readonly sequences = new Map<string, Sequence>();
   /** How often each position of each sequence ran, for tests. */
   private readonly executions = new Map<string, number>();
-  private readonly events: CacheEvent[] = [];
+  private readonly events: TimedEvent[] = [];
+  private lastEventSeq = 0;
+  private readonly prefixes = new Set<number>();
   private newestFence = 0;
   private batch: Promise<unknown> = Promise.resolve();
   private queuedSteps = 0;
@@ -50,6 +66,7 @@
   private addStepRoutes(): void {
     this.route('POST', '/v1/tokenize', async request => {
       const {text} = parseJson<{text: string}>(request);
+      this.storePrefixes(text);
       return {status: 200, body: {tokens: tokenize(text)}};
     });
     this.route('POST', '/v1/run', async request => {
@@ -85,7 +102,11 @@
     });
     this.route('GET', '/v1/events', async ({query}) => {
       const after = Number(query.get('after'));
-      const events = this.events.filter(event => event.seq > after);
+      const shownUntilMs = performance.now() - CACHE_EVENT_LAG_MS;
+      const events = this.events
+        .filter(({atMs}) => atMs <= shownUntilMs)
+        .map(({event}) => event)
+        .filter(({seq}) => seq > after && seq % LOST_EVENT_INTERVAL !== 0);
       return {status: 200, body: {events}};
     });
   }
@@ -127,6 +148,26 @@
     });
   }
 
+  /** Notes a prompt's prefixes as stored, and evicts the oldest ones. */
+  private storePrefixes(text: string): void {
+    for (const prefixHash of prefixHashes(text)) {
+      if (this.prefixes.has(prefixHash)) continue;
+      this.prefixes.add(prefixHash);
+      this.publish('stored', prefixHash);
+    }
+    for (const prefixHash of this.prefixes) {
+      if (this.prefixes.size <= MAX_PREFIXES) return;
+      this.prefixes.delete(prefixHash);
+      this.publish('evicted', prefixHash);
+    }
+  }
+
+  private publish(kind: CacheEvent['kind'], prefixHash: number): void {
+    const event = {seq: ++this.lastEventSeq, kind, prefixHash};
+    this.events.push({event, atMs: performance.now()});
+    this.events.splice(0, Math.max(0, this.events.length - MAX_EVENTS));
+  }
+
   private load(order: EngineOrder): void {
     const {model, modelVersion, firstLayer, endLayer} = order;
     const isSame =
