--- a/packages/side/src/core/process/side_process.ts
+++ b/packages/side/src/core/process/side_process.ts
@@ -38,6 +38,9 @@
 /** Longest wait for the registration before the process serves without it. */
 const REGISTRATION_WAIT_MS = 3000;
 
+/** Time in which `reroute` reaches the other stages of a moved sequence. */
+const LINGER_MS = 300;
+
 /** Entries that do not answer `leaving` for this long are taken for gone. */
 const NOTICE_TIMEOUT_MS = 3000;
 
@@ -169,6 +172,9 @@
     }
     const isDrained = this.isIdle();
     if (isDrained) await this.service?.drained();
+    // Stages before this one may not have taken the new chain yet; to them the
+    // end of the connection would look like the loss of a stage.
+    if (isDrained) await delay(LINGER_MS);
     this.lifecycle.send({type: isDrained ? 'drained' : 'deadline'});
     this.logger.info('stopped', {drained: isDrained});
   }
@@ -279,5 +285,5 @@
 }
 
 function delay(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs).unref());
+  return new Promise(resolve => setTimeout(resolve, durationMs));
 }
