Open a request only while it is being routed

Cause: read in review: each wait overwrites the timer of the one before, so an earlier timer could open a request again after it had gone on or ended, and leave a slot taken at a head until the orphan timeout. Ruled out: clearing each timer at each place that sets one. No test brings the stray timer about.

--- a/packages/azurecrank/src/core/generation/generation.ts
+++ b/packages/azurecrank/src/core/generation/generation.ts
@@ -164,6 +164,8 @@
   }
 
   private open(): void {
+    // A timer of an earlier wait may fire after the request has gone on.
+    if (this.runner.state !== 'routing') return;
     const chain = this.deps.policy.chooseChain(this.spec, this.excluded);
     if (!chain) return this.waitForChain();
     this.chain = chain;
