Keep chains inside a zone, with standby copies and probed suspicions

Cause: when one server left, the cheapest path crossed zones, broke the other chain and filled the pipe between zones; reports of heads showed no stalled requests while every stream was silent. Ruled out: too little memory in the chains (61 running of 74 that fit). Also: an answer without a length is not complete when its connection is reset.

--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -118,6 +118,17 @@
     return chosen;
   }
 
+  /** Whether another chain has room for a request of so many tokens. */
+  hasRoomElsewhere(tokens: number, excluded: ReadonlySet<string>): boolean {
+    const {loads, nowMs} = this.options;
+    const now = nowMs();
+    return this.currentChains().some(
+      chain =>
+        !excluded.has(chain.path[0].server.address) &&
+        loads.hasRoom(chain, tokens, now),
+    );
+  }
+
   /** Chains of servers that may get work, cached until the fleet changes. */
   currentChains(): ServerChain[] {
     const {fleet, service, model} = this.options;
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -3,10 +3,10 @@
  * minus those that are suspected. Pure; times are arguments.
  */
 import type {ServerId, ServiceId} from '@azurecrank/core';
-import type {BackendServer, ServerAddress} from './backend_server.js';
+import type {BackendServer, LayerRange, ServerAddress} from './backend_server.js';
 
-/** A suspicion that nothing renews ends after this time, in milliseconds. */
-export const SUSPICION_MS = 4000;
+/** A peer's suspicion that it no longer tells ends after this time. */
+const TOLD_SUSPICION_MS = 1500;
 
 /**
  * Servers that live are back in the directory within 2 s of its return, so an
@@ -15,8 +15,9 @@
 export const LAPSED_GRACE_MS = 2200;
 
 interface Suspicion {
-  readonly untilMs: number;
   readonly cause: string;
+  /** Infinite for a suspicion of this entry, which ends by a probe. */
+  readonly untilMs: number;
 }
 
 export class FleetView {
@@ -81,14 +82,24 @@
     }
   }
 
-  /** Returns whether the suspicion is new. */
-  suspect(address: ServerAddress, cause: string, nowMs: number): boolean {
+  /** Returns whether the server was not suspected before. */
+  suspect(address: ServerAddress, cause: string): boolean {
     const isNew = !this.suspicions.has(address);
-    this.suspicions.set(address, {untilMs: nowMs + SUSPICION_MS, cause});
+    this.suspicions.set(address, {untilMs: Infinity, cause});
     if (isNew) this.changes++;
     return isNew;
   }
 
+  /** Takes the suspicion of a peer; lasts as long as it is repeated. */
+  suspectAsTold(address: ServerAddress, peer: string, nowMs: number): boolean {
+    const known = this.suspicions.get(address);
+    if (known?.untilMs === Infinity) return false;
+    const untilMs = nowMs + TOLD_SUSPICION_MS;
+    this.suspicions.set(address, {untilMs, cause: `told by ${peer}`});
+    if (!known) this.changes++;
+    return !known;
+  }
+
   clearSuspicion(address: ServerAddress): boolean {
     const wasSuspected = this.suspicions.delete(address);
     if (wasSuspected) this.changes++;
@@ -99,8 +110,22 @@
     return this.suspicions.has(address);
   }
 
-  suspectedAddresses(): ServerAddress[] {
-    return [...this.suspicions.keys()];
+  /** Servers that this entry itself has found not to answer. */
+  ownSuspicions(): ServerAddress[] {
+    return [...this.suspicions]
+      .filter(([, {untilMs}]) => untilMs === Infinity)
+      .map(([address]) => address);
+  }
+
+  /** Takes what a server itself reports to hold. */
+  correctLayers(address: ServerAddress, layers: LayerRange | undefined): void {
+    const server = this.at(address);
+    if (!server) return;
+    const held = server.layers;
+    const isSame =
+      held?.firstLayer === layers?.firstLayer &&
+      held?.endLayer === layers?.endLayer;
+    if (!isSame) this.put({...server, layers});
   }
 
   /** A peer has seen that this incarnation of a server leaves. */
--- a/packages/forwarding/src/core/paths/find_chains.ts
+++ b/packages/forwarding/src/core/paths/find_chains.ts
@@ -4,13 +4,11 @@
  * has to be stored or agreed on.
  */
 import type {BackendServer} from '../fleet/backend_server.js';
+import {cacheCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {findPath} from './find_path.js';
 import type {PathPart, ServerPath} from './server_path.js';
 
-/** Bytes in a megabyte as accelerators count their memory. */
-const BYTES_PER_MB = 1e6;
-
 export interface ServerChain {
   readonly path: ServerPath;
   /** Tokens whose KV cache fits on every part. */
@@ -19,16 +17,46 @@
   readonly stepMs: number;
 }
 
-/** Disjoint chains, fastest first. */
+/**
+ * Memory of a chain that leaves its zone which is used, in tokens: more
+ * requests would fill the pipe between the zones.
+ */
+const MAX_CROSS_ZONE_TOKENS = 12_000;
+
+/** Disjoint chains: those inside one zone first, each time the cheapest. */
 export function findChains(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): ServerChain[] {
+  const sorted = [...servers]
+    .filter(({layers}) => layers)
+    .sort((a, b) => (a.server < b.server ? -1 : 1));
+  const zones = [...new Set(sorted.map(s => s.availabilityZone))].sort();
   const chains: ServerChain[] = [];
-  let left = [...servers].sort((a, b) => (a.server < b.server ? -1 : 1));
+  const left: BackendServer[] = [];
+  for (const zone of zones) {
+    const inZone = sorted.filter(s => s.availabilityZone === zone);
+    left.push(...takeChains(model, inZone, chains));
+  }
+  const crossing: ServerChain[] = [];
+  takeChains(model, left, crossing);
+  const bounded = crossing.map(chain => ({
+    ...chain,
+    capacityTokens: Math.min(chain.capacityTokens, MAX_CROSS_ZONE_TOKENS),
+  }));
+  return [...chains, ...bounded];
+}
+
+/** Moves chains of these servers to `chains`; returns the servers left. */
+function takeChains(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  chains: ServerChain[],
+): BackendServer[] {
+  let left = [...servers];
   for (;;) {
     const path = findPath({model, servers: left});
-    if (!path) return chains;
+    if (!path) return left;
     chains.push(toChain(model, path));
     const used = new Set(path.map(({server}) => server.server));
     left = left.filter(({server}) => !used.has(server));
@@ -36,7 +64,9 @@
 }
 
 export function toChain(model: ModelSpec, path: ServerPath): ServerChain {
-  const capacities = path.map(part => capacityTokens(model, part));
+  const capacities = path.map(({server, firstLayer, endLayer}) =>
+    cacheCapacityTokens(model, server, endLayer - firstLayer),
+  );
   const steps = path.map(part => partStepMs(model, part));
   return {
     path,
@@ -45,17 +75,6 @@
   };
 }
 
-/** Tokens of requests on this part that fit beside the layers it holds. */
-function capacityTokens(model: ModelSpec, part: PathPart): number {
-  const {server, firstLayer, endLayer} = part;
-  const memoryMb = model.accelerators.get(server.accelerator)?.memoryMb ?? 0;
-  const held = server.layers;
-  const heldLayers = held ? held.endLayer - held.firstLayer : 0;
-  const freeBytes = (memoryMb - heldLayers * model.layerMb) * BYTES_PER_MB;
-  const perLayerBytes = model.kvBytesPerToken / model.layers;
-  return freeBytes / (perLayerBytes * (endLayer - firstLayer));
-}
-
 function partStepMs(model: ModelSpec, part: PathPart): number {
   const kind = model.accelerators.get(part.server.accelerator);
   const share = (part.endLayer - part.firstLayer) / model.layers;
--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -3,6 +3,7 @@
  * programming over the layer at which a part begins.
  */
 import type {BackendServer} from '../fleet/backend_server.js';
+import {cacheCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {PathPart, ServerPath} from './server_path.js';
 
@@ -10,12 +11,12 @@
 export const MAX_PATH_PARTS = 32;
 
 /**
- * Cost of a hop between availability zones, in milliseconds per token. Prompts
- * pass a zone pipe one transfer after another, which at the usual prompt of
- * 800 tokens takes some 25 ms a request; over an answer of some 150 tokens
- * that is in the order of this time for each.
+ * Cost of a hop between availability zones, in milliseconds per token. All
+ * prompts between two zones pass one pipe, one after another: at 42 KB a token
+ * and 11 Gbit/s a usual prompt takes 24 ms of it, so that some 40 requests a
+ * second fill it. A path leaves its zone only where there is no other way.
  */
-const ZONE_HOP_MS = 3;
+const ZONE_HOP_MS = 100;
 
 /** Typical one-way time inside an availability zone. */
 const LOCAL_HOP_MS = 0.3;
@@ -26,6 +27,13 @@
  */
 const UNUSED_LAYER_MS = 0.02;
 
+/**
+ * Cost of a part with room for `CROWDED_TOKENS`; in inverse proportion for
+ * others. The smallest part bounds the requests of a whole chain.
+ */
+const CROWDED_MS = 0.6;
+const CROWDED_TOKENS = 30_000;
+
 /** Cost of a part that has to read all tokens so far again. */
 const REREAD_MS = 4;
 
@@ -101,7 +109,10 @@
   const computeMs = (model.stepMs * decodeFactor * layers) / model.layers;
   const held = server.layers;
   const unused = held ? held.endLayer - held.firstLayer - layers : 0;
-  return computeMs + unused * UNUSED_LAYER_MS + hopMs(before, server);
+  const room = Math.max(1, cacheCapacityTokens(model, server, layers));
+  const crowdedMs = (CROWDED_MS * CROWDED_TOKENS) / room;
+  const unusedMs = unused * UNUSED_LAYER_MS;
+  return computeMs + crowdedMs + unusedMs + hopMs(before, server);
 }
 
 function hopMs(before: PathPart | undefined, server: BackendServer): number {
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -31,7 +31,8 @@
   /** The routing table as it is stored, with its version. */
   readonly heldTable: () => {readonly version: number; readonly text: string};
   readonly offerTable: (text: string) => void;
-  readonly onSuspect: (address: string, node: string) => void;
+  /** A peer suspects a server that was not suspected here. */
+  readonly onSuspect: () => void;
 }
 
 /** Period of shares; short against the time that requests hold memory. */
@@ -102,7 +103,7 @@
       usedTokens: loads.ownTokens(),
       waiting: waiting(),
       leaving: fleet.leavingServers(),
-      suspected: fleet.suspectedAddresses(),
+      suspected: fleet.ownSuspicions(),
     };
   }
 
@@ -127,13 +128,16 @@
   }
 
   private takeShares(message: EntryShares, link: PeerLink): void {
-    const {loads, fleet, nowMs, onSuspect} = this.options;
-    loads.notePeer(link.name, message.usedTokens, nowMs());
+    const {loads, fleet, nowMs, onSuspect, logger} = this.options;
+    const now = nowMs();
+    loads.notePeer(link.name, message.usedTokens, now);
     for (const [server, bornAtMs] of message.leaving) {
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
     for (const address of message.suspected) {
-      if (!fleet.isSuspected(address)) onSuspect(address, link.name);
+      if (!fleet.suspectAsTold(address, link.name, now)) continue;
+      logger.info('server suspected', {peer: address, source: link.name});
+      onSuspect();
     }
   }
 
--- a/packages/forwarding/src/core/placement/fill_gaps.ts
+++ b/packages/forwarding/src/core/placement/fill_gaps.ts
@@ -1,122 +1,112 @@
-/** Completes broken chains with servers that hold nothing. */
+/** Completes a broken chain by moving as few layers as possible. */
 import type {BackendServer} from '../fleet/backend_server.js';
+import {layersThatFit} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {LayoutOrder} from './plan_layout.js';
-import {layersThatFit} from './server_capacity.js';
 
 /** Memory left for requests on a server that fills a gap, in tokens. */
 const GAP_TOKENS = 24_000;
 
 /**
- * Follows the fragments from the first layer on; where none continues, an
- * empty server of the same zone, or else any, takes the layers up to the next
- * fragment. Returns the orders of the chains that become complete.
+ * Keeps servers that together hold as many layers as possible and gives the
+ * missing ones to the others, first to those that hold nothing. Returns no
+ * orders if the others cannot hold them.
  */
 export function fillGaps(
   model: ModelSpec,
-  fragments: readonly BackendServer[],
-  empty: readonly BackendServer[],
+  servers: readonly BackendServer[],
 ): LayoutOrder[] {
+  const kept = keepCover(model, servers);
+  if (kept.length === 0) return [];
+  const free = servers.filter(server => !kept.includes(server));
   const orders: LayoutOrder[] = [];
-  let held = [...fragments];
-  let free = [...empty];
-  while (free.length > 0 && held.length > 0) {
-    const chain = completeOne(model, held, free);
-    if (!chain) break;
-    orders.push(...chain.orders);
-    const used = new Set(chain.used);
-    held = held.filter(server => !used.has(server));
-    free = free.filter(server => !used.has(server));
-  }
-  return orders;
-}
-
-interface Completed {
-  readonly orders: LayoutOrder[];
-  readonly used: BackendServer[];
-}
-
-function completeOne(
-  model: ModelSpec,
-  fragments: readonly BackendServer[],
-  empty: readonly BackendServer[],
-): Completed | undefined {
-  const orders: LayoutOrder[] = [];
-  const used: BackendServer[] = [];
   let layer = 0;
-  let zone = '';
   while (layer < model.layers) {
-    const left = fragments.filter(server => !used.includes(server));
-    const next = furthestFrom(left, layer, zone);
+    const next = kept.find(({layers}) => holds(layers, layer));
     if (next?.layers) {
-      used.push(next);
       layer = next.layers.endLayer;
-      zone = next.availabilityZone;
       continue;
     }
-    const until = nextStart(left, layer, model.layers);
-    const filler = pickFiller(model, empty, used, zone, until - layer);
-    if (!filler) return undefined;
+    const until = nextStart(kept, layer, model.layers);
+    const filler = pickFiller(model, free, until - layer);
+    if (!filler) return [];
+    free.splice(free.indexOf(filler), 1);
     const fitting = layersThatFit(model, filler, GAP_TOKENS);
     const endLayer = Math.min(until, layer + fitting);
-    used.push(filler);
     orders.push({server: filler, range: {firstLayer: layer, endLayer}});
     layer = endLayer;
-    zone = filler.availabilityZone;
   }
-  return orders.length > 0 ? {orders, used} : undefined;
+  return orders;
+}
+
+/** From layer 0 up, each time the server that reaches furthest. */
+function keepCover(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+): BackendServer[] {
+  const kept: BackendServer[] = [];
+  let layer = 0;
+  while (layer < model.layers) {
+    const next = furthestFrom(servers, layer);
+    if (next?.layers) {
+      kept.push(next);
+      layer = next.layers.endLayer;
+    } else {
+      layer = nextStart(servers, layer, model.layers);
+    }
+  }
+  return kept;
 }
 
-/** The fragment that holds `layer` and reaches furthest, own zone first. */
 function furthestFrom(
-  fragments: readonly BackendServer[],
+  servers: readonly BackendServer[],
   layer: number,
-  zone: string,
 ): BackendServer | undefined {
-  const holding = fragments.filter(
-    ({layers}) =>
-      layers && layers.firstLayer <= layer && layer < layers.endLayer,
-  );
-  const local = holding.filter(s => zone === '' || s.availabilityZone === zone);
-  const candidates = local.length > 0 ? local : holding;
-  return candidates.reduce<BackendServer | undefined>(
-    (best, server) =>
-      (server.layers?.endLayer ?? 0) > (best?.layers?.endLayer ?? 0)
-        ? server
-        : best,
-    undefined,
+  return servers
+    .filter(({layers}) => holds(layers, layer))
+    .reduce<BackendServer | undefined>(
+      (best, server) =>
+        (server.layers?.endLayer ?? 0) > (best?.layers?.endLayer ?? 0)
+          ? server
+          : best,
+      undefined,
+    );
+}
+
+function holds(layers: BackendServer['layers'], layer: number): boolean {
+  return (
+    layers !== undefined && layers.firstLayer <= layer && layer < layers.endLayer
   );
 }
 
 function nextStart(
-  fragments: readonly BackendServer[],
+  servers: readonly BackendServer[],
   layer: number,
   layers: number,
 ): number {
-  const starts = fragments
+  const starts = servers
     .map(server => server.layers?.firstLayer ?? layers)
     .filter(start => start > layer);
   return Math.min(layers, ...starts);
 }
 
-/** The smallest server of the zone that closes the gap, else the largest. */
+/**
+ * Servers that hold nothing go first. The smallest one that closes the gap is
+ * taken, or else the largest.
+ */
 function pickFiller(
   model: ModelSpec,
-  empty: readonly BackendServer[],
-  used: readonly BackendServer[],
-  zone: string,
+  free: readonly BackendServer[],
   gap: number,
 ): BackendServer | undefined {
   const fits = (server: BackendServer) =>
     layersThatFit(model, server, GAP_TOKENS);
   const rank = (server: BackendServer) =>
-    (server.availabilityZone === zone || zone === '' ? 0 : 2) +
-    (fits(server) >= gap ? 0 : 1);
-  return empty
-    .filter(server => !used.includes(server) && fits(server) > 0)
+    (fits(server) >= gap ? 0 : 2) + (server.layers ? 1 : 0);
+  return [...free]
+    .filter(server => fits(server) > 0)
     .sort((a, b) => {
       if (rank(a) !== rank(b)) return rank(a) - rank(b);
-      const isEnough = fits(a) >= gap;
-      return isEnough ? fits(a) - fits(b) : fits(b) - fits(a);
+      return fits(a) >= gap ? fits(a) - fits(b) : fits(b) - fits(a);
     })[0];
 }
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -2,7 +2,7 @@
 import {type Logger, type Metrics, type ServerId} from '@azurecrank/core';
 import type {LeaseHolder} from 'azurecrank';
 import type {ServerControl} from '../adapter/wire_codec.js';
-import type {BackendServer} from '../fleet/backend_server.js';
+import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {planLayout, type LayoutOrder} from './plan_layout.js';
@@ -51,6 +51,7 @@
   private isStopped = false;
   private renewedAtMs = -Infinity;
   private isHolder = false;
+  private isRunning = false;
   private seenServers = 0;
   private changedAtMs = -Infinity;
 
@@ -65,6 +66,13 @@
     clearTimeout(this.timer);
   }
 
+  /** Something was lost: the layout is checked at once. */
+  hurry(): void {
+    if (!this.isHolder || this.isRunning) return;
+    clearTimeout(this.timer);
+    this.schedule(0);
+  }
+
   private schedule(delayMs: number): void {
     if (this.isStopped) return;
     this.timer = setTimeout(() => void this.turn(), delayMs);
@@ -73,6 +81,7 @@
 
   private async turn(): Promise<void> {
     const {logger, metrics} = this.options;
+    this.isRunning = true;
     try {
       await this.refreshLease();
       if (this.isHolder) await this.giveOrders();
@@ -83,6 +92,7 @@
         cause: String(error),
       });
     }
+    this.isRunning = false;
     const waitMs = CAMPAIGN_MS * (0.5 + Math.random());
     this.schedule(this.isHolder ? PERIOD_MS : waitMs);
   }
@@ -103,7 +113,8 @@
     for (const {service, model} of services) {
       if (!model) continue;
       const servers = fleet.staying(service);
-      if (!this.isSettled(servers.length)) continue;
+      const isFresh = servers.every(({layers}) => !layers);
+      if (isFresh && !this.isSettled(servers.length)) continue;
       const expected = servers
         .filter(({address}) => !fleet.isSuspected(address))
         .map(server => this.withPending(server));
@@ -125,17 +136,18 @@
   private withPending(server: BackendServer): BackendServer {
     const pending = this.pending.get(server.server);
     if (!pending) return server;
+    const {range} = pending.order;
     const isOver =
       pending.bornAtMs !== server.bornAtMs ||
-      server.layers !== undefined ||
+      isSameRange(server.layers, range) ||
       this.options.nowMs() >= pending.untilMs;
-    if (!isOver) return {...server, layers: pending.order.range};
+    if (!isOver) return {...server, layers: range};
     this.pending.delete(server.server);
     return server;
   }
 
   private async give(order: LayoutOrder): Promise<void> {
-    const {control, lease, logger, nowMs, metrics} = this.options;
+    const {control, fleet, lease, logger, nowMs, metrics} = this.options;
     const {server, range} = order;
     const fence = lease.fence;
     if (fence === undefined) return;
@@ -147,7 +159,8 @@
     });
     try {
       const report = await control.report(server.address, REPORT_TIMEOUT_MS);
-      if (report.layers) return;
+      fleet.correctLayers(server.address, report.layers);
+      if (isSameRange(report.layers, range) || report.isBusy) return;
       const outcome = await control.place({
         server,
         range,
@@ -166,3 +179,7 @@
     }
   }
 }
+
+function isSameRange(a: LayerRange | undefined, b: LayerRange): boolean {
+  return a?.firstLayer === b.firstLayer && a.endLayer === b.endLayer;
+}
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -1,14 +1,15 @@
 /**
- * Which layers each server of a model should hold. Chains stay inside an
- * availability zone where they fit, because prompts that pass between zones
- * share one slow pipe. What is held already is moved as little as possible.
+ * Which layers each server of a model should hold. Each availability zone gets
+ * one chain of its fastest servers; its other servers stand by with second
+ * copies of the layers. Chains that leave their zone are the last resort,
+ * because prompts between zones share one slow pipe. What is held already is
+ * moved as little as possible.
  */
-import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
+import {layersThatFit} from '../fleet/server_capacity.js';
 import {findChains} from '../paths/find_chains.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {fillGaps} from './fill_gaps.js';
-import {estimateRate, layersThatFit} from './server_capacity.js';
 
 export interface LayoutOrder {
   readonly server: BackendServer;
@@ -16,115 +17,75 @@
 }
 
 /**
- * Tokens of requests for which a chain may leave memory. The layout with the
- * highest estimated rate is taken; small values make long chains of few
- * requests, large ones leave servers without a chain.
+ * Tokens of requests for which each server of a chain leaves memory: room for
+ * some 50 requests where the zone allows it, fewer in a small zone.
  */
-const TOKEN_CANDIDATES = [
-  16_000, 24_000, 32_000, 40_000, 50_000, 60_000, 70_000, 80_000, 100_000,
-];
+const CHAIN_TOKENS = [50_000, 40_000, 32_000, 24_000, 16_000, 8_000];
+
+/** Tokens for which servers that stand by leave memory. */
+const STANDBY_TOKENS = 24_000;
 
 /** Least memory for requests of a chain that leaves its zone. */
-const CROSS_ZONE_TOKENS = 16_000;
+const CROSS_ZONE_TOKENS = 12_000;
 
 /** Returns the orders that lead from what is held to the wanted layout. */
 export function planLayout(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  const known = servers
-    .filter(({accelerator}) => model.accelerators.has(accelerator))
-    .sort((a, b) => (a.server < b.server ? -1 : 1));
-  const isFresh = known.every(({layers}) => !layers);
-  return isFresh ? planFresh(model, known) : planRepair(model, known);
-}
-
-/** The first layout, when no server holds anything. */
-function planFresh(
-  model: ModelSpec,
-  servers: readonly BackendServer[],
-): LayoutOrder[] {
+  const known = servers.filter(({accelerator}) =>
+    model.accelerators.has(accelerator),
+  );
   const orders: LayoutOrder[] = [];
-  const left = new Set(servers);
-  const take = (chain: readonly LayoutOrder[]) => {
-    for (const order of chain) left.delete(order.server);
-    orders.push(...chain);
-  };
-  for (const zone of zonesOf(servers)) {
-    for (;;) {
-      const inZone = [...left].filter(s => s.availabilityZone === zone);
-      const chain = bestChain(model, inZone);
-      if (!chain) break;
-      take(chain);
-    }
+  for (const zone of zonesOf(known)) {
+    const inZone = known.filter(s => s.availabilityZone === zone);
+    orders.push(...planZone(model, inZone));
   }
-  for (;;) {
-    const chain = buildChain(model, sortByZone([...left]), CROSS_ZONE_TOKENS);
-    if (!chain) break;
-    take(chain);
-  }
-  return [...orders, ...planSpares(model, orders, [...left])];
+  const planned = applyOrders(known, orders);
+  if (findChains(model, planned).length > 0) return orders;
+  return planCrossZone(model, known);
 }
 
-/**
- * Chains that lost a part get it back on servers that hold nothing; servers
- * that are left over become spares.
- */
-function planRepair(
+function planZone(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
   const chains = findChains(model, servers);
-  const inChains = new Set(
-    chains.flatMap(({path}) => path.map(({server}) => server.server)),
-  );
-  const free = servers.filter(({server}) => !inChains.has(server));
-  const empty = free.filter(({layers}) => !layers);
-  const fragments = free.filter(({layers}) => layers);
-  const filled = fillGaps(model, fragments, empty);
-  const used = new Set(filled.map(({server}) => server.server));
-  const spare = empty.filter(({server}) => !used.has(server));
-  const kept = chains.flatMap(({path}) =>
-    path.map(({server, firstLayer, endLayer}) => ({
-      server,
-      range: {firstLayer, endLayer},
-    })),
-  );
-  const fresh = spare.length > 0 ? planFreshChains(model, spare) : [];
-  const inFresh = new Set(fresh.map(({server}) => server.server));
-  const unused = spare.filter(({server}) => !inFresh.has(server));
-  return [...filled, ...fresh, ...planSpares(model, kept, unused)];
+  if (chains.length > 0) {
+    const inChain = new Set(
+      chains[0].path.map(({server}) => server.server),
+    );
+    const others = servers.filter(({server}) => !inChain.has(server));
+    return planStandby(model, others);
+  }
+  const filled = fillGaps(model, servers);
+  if (filled.length === 0) return planNewChain(model, servers);
+  const rest = applyOrders(servers, filled);
+  return [...filled, ...planZoneStandby(model, rest)];
 }
 
-/** Whole new chains of servers that hold nothing. */
-function planFreshChains(
+/** Standby of the servers that a completed chain leaves over. */
+function planZoneStandby(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  for (const zone of zonesOf(servers)) {
-    const inZone = servers.filter(s => s.availabilityZone === zone);
-    const chain = bestChain(model, inZone);
-    if (chain) return chain;
-  }
-  return buildChain(model, sortByZone([...servers]), CROSS_ZONE_TOKENS) ?? [];
+  return findChains(model, servers).length > 0 ? planZone(model, servers) : [];
 }
 
-/** The chain of these servers with the highest estimated rate. */
-function bestChain(
+/** A chain from nothing; servers that hold other layers give them up. */
+function planNewChain(
   model: ModelSpec,
   servers: readonly BackendServer[],
-): LayoutOrder[] | undefined {
+): LayoutOrder[] {
   const sorted = sortBySpeed(model, servers);
-  let best: LayoutOrder[] | undefined;
-  let bestRate = 0;
-  for (const tokens of TOKEN_CANDIDATES) {
+  for (const tokens of CHAIN_TOKENS) {
     const chain = buildChain(model, sorted, tokens);
-    const rate = chain ? estimateRate(model, chain, tokens) : 0;
-    if (rate <= bestRate) continue;
-    best = chain;
-    bestRate = rate;
+    if (!chain) continue;
+    const used = new Set(chain.map(({server}) => server.server));
+    const others = servers.filter(({server}) => !used.has(server));
+    return [...withoutHeld(chain), ...planStandby(model, others)];
   }
-  return best;
+  return [];
 }
 
 /** Fills the servers in their order until all layers are placed. */
@@ -139,7 +100,9 @@
     const fitting = layersThatFit(model, server, tokens);
     const endLayer = Math.min(model.layers, firstLayer + fitting);
     if (endLayer === firstLayer) continue;
-    chain.push({server, range: {firstLayer, endLayer}});
+    // The last server has memory left and copies the layers before its own.
+    const heldFrom = Math.max(0, endLayer - fitting);
+    chain.push({server, range: {firstLayer: heldFrom, endLayer}});
     firstLayer = endLayer;
     if (firstLayer === model.layers) return chain;
   }
@@ -147,55 +110,94 @@
 }
 
 /**
- * Servers without a chain hold second copies of parts in their own zone, so
- * that a lost part can be replaced without loading weights.
+ * Second copies on servers that hold nothing, from the last layer down: a lost
+ * part can be replaced on a running request unless it is the first one.
  */
-function planSpares(
+function planStandby(
   model: ModelSpec,
-  placed: readonly LayoutOrder[],
-  spares: readonly BackendServer[],
+  servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  const copied = new Set<ServerId>();
+  const covered = servers.flatMap(({layers}) => layers ?? []);
   const orders: LayoutOrder[] = [];
-  for (const server of sortBySpeed(model, spares)) {
-    const fitting = layersThatFit(model, server, CROSS_ZONE_TOKENS);
-    const original = placed.find(
-      ({server: other, range}) =>
-        !copied.has(other.server) &&
-        other.availabilityZone === server.availabilityZone &&
-        range.endLayer - range.firstLayer <= fitting,
-    );
-    if (!original) continue;
-    copied.add(original.server.server);
-    orders.push({server, range: original.range});
+  let endLayer = model.layers;
+  const empty = servers.filter(({layers}) => !layers);
+  for (const server of sortBySpeed(model, empty)) {
+    endLayer = lowestUncovered(covered, endLayer);
+    if (endLayer <= 0) endLayer = model.layers;
+    const fitting = layersThatFit(model, server, STANDBY_TOKENS);
+    const firstLayer = Math.max(0, endLayer - fitting);
+    if (firstLayer === endLayer) continue;
+    orders.push({server, range: {firstLayer, endLayer}});
+    endLayer = firstLayer;
   }
   return orders;
 }
 
-function zonesOf(servers: readonly BackendServer[]): string[] {
-  return [...new Set(servers.map(s => s.availabilityZone))].sort();
+/** The next layer downwards above which everything is covered. */
+function lowestUncovered(covered: readonly LayerRange[], from: number): number {
+  let layer = from;
+  for (;;) {
+    const range = covered.find(
+      ({firstLayer, endLayer}) => firstLayer < layer && layer <= endLayer,
+    );
+    if (!range) return layer;
+    layer = range.firstLayer;
+  }
 }
 
-function sortByZone(servers: BackendServer[]): BackendServer[] {
-  return servers.sort((a, b) =>
-    a.availabilityZone === b.availabilityZone
-      ? compare(a.server, b.server)
-      : compare(a.availabilityZone, b.availabilityZone),
+/** One chain over all zones, zone by zone. */
+function planCrossZone(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+): LayoutOrder[] {
+  if (findChains(model, servers).length > 0) return [];
+  const filled = fillGaps(model, servers);
+  if (filled.length > 0) return filled;
+  const sorted = zonesOf(servers).flatMap(zone =>
+    sortBySpeed(
+      model,
+      servers.filter(s => s.availabilityZone === zone),
+    ),
   );
+  return withoutHeld(buildChain(model, sorted, CROSS_ZONE_TOKENS) ?? []);
 }
 
+/** Leaves out what a server holds already. */
+function withoutHeld(orders: readonly LayoutOrder[]): LayoutOrder[] {
+  return orders.filter(
+    ({server: {layers}, range}) =>
+      layers?.firstLayer !== range.firstLayer ||
+      layers.endLayer !== range.endLayer,
+  );
+}
+
+/** The servers as they are once the orders are carried out. */
+export function applyOrders(
+  servers: readonly BackendServer[],
+  orders: readonly LayoutOrder[],
+): BackendServer[] {
+  const ranges = new Map(orders.map(o => [o.server.server, o.range]));
+  return servers.map(server => {
+    const range = ranges.get(server.server);
+    return range ? {...server, layers: range} : server;
+  });
+}
+
+function zonesOf(servers: readonly BackendServer[]): string[] {
+  return [...new Set(servers.map(s => s.availabilityZone))].sort();
+}
+
+/** Fast servers first, and of two alike the one with more memory. */
 function sortBySpeed(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): BackendServer[] {
-  const factor = ({accelerator}: BackendServer) =>
-    model.accelerators.get(accelerator)?.decodeFactor ?? Infinity;
+  const cost = ({accelerator}: BackendServer) => {
+    const kind = model.accelerators.get(accelerator);
+    // Reading a prompt takes about half as long as writing an answer.
+    return kind ? kind.decodeFactor + kind.prefillFactor / 2 : Infinity;
+  };
   return [...servers].sort(
-    (a, b) => factor(a) - factor(b) || compare(a.server, b.server),
+    (a, b) => cost(a) - cost(b) || (a.server < b.server ? -1 : 1),
   );
 }
-
-function compare(a: string, b: string): number {
-  if (a === b) return 0;
-  return a < b ? -1 : 1;
-}
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -32,7 +32,7 @@
 import {EntryMesh} from '../peers/entry_mesh.js';
 import {LayoutRunner} from '../placement/layout_runner.js';
 import {CallServers} from '../relay/call_servers.js';
-import {PathDoctor} from '../relay/path_doctor.js';
+import {PROBE_PERIOD_MS, PathDoctor} from '../relay/path_doctor.js';
 import {Upstream} from '../relay/upstream.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {TableHolder} from '../routing/table_holder.js';
@@ -58,7 +58,14 @@
 /** Headers are bounded before a routing table with their limit is known. */
 const MAX_HEADER_BYTES = 64 * 1024;
 
-const RETRIES = {perSuccess: 0.15, perSecond: 2, capacity: 60};
+/** After a pause of its own this process blames no server for so long. */
+const OWN_PAUSE_MS = 700;
+
+/**
+ * Eight entries together stay below a budget of a fifth of the requests and
+ * some 400 more in 10 s.
+ */
+const RETRIES = {perSuccess: 0.15, perSecond: 1, capacity: 30};
 
 export class ForwardingProcess implements RunnableProcess, Disposable {
   readonly metrics = new Metrics();
@@ -74,6 +81,7 @@
   private readonly gateway: ForwardingGateway;
   private readonly pauses = new PauseMonitor();
   private callers: Server | undefined;
+  private layout: LayoutRunner | undefined;
   private hasServers = false;
   private isStopping = false;
   private boundPeerAddress = '' as PeerAddress;
@@ -105,10 +113,7 @@
         waiting: () => this.waiting(),
         heldTable: () => this.table.stored,
         offerTable: text => this.table.offer(text, 'peer'),
-        onSuspect: (address, peer) => {
-          if (!fleet.suspect(address, `told by ${peer}`, nowMs())) return;
-          logger.info('server suspected', {peer: address, source: peer});
-        },
+        onSuspect: () => this.layout?.hurry(),
       }),
     );
     const upstream = this.store.add(new Upstream());
@@ -129,8 +134,13 @@
       fleet,
       logger,
       nowMs,
-      onSuspect: () => this.mesh.share(),
+      wasPaused: () => this.pauses.pausedWithin(OWN_PAUSE_MS),
+      onSuspect: () => {
+        this.mesh.share();
+        this.layout?.hurry();
+      },
     });
+    this.store.interval(() => void doctor.probeSuspected(), PROBE_PERIOD_MS);
     this.gateway = this.store.add(
       new ForwardingGateway({
         wire: adapter.wire,
@@ -314,6 +324,7 @@
     const servers = [...this.fleet.all()];
     this.callServers.retain(new Set(servers.map(({address}) => address)));
     this.mesh.share();
+    this.layout?.hurry();
     this.logger.info('servers changed', {
       servers: servers.length,
       leaving: servers.filter(server => this.fleet.isLeaving(server)).length,
@@ -346,7 +357,8 @@
       metrics,
       nowMs: () => performance.now(),
     });
-    this.store.add(runner).start();
+    this.layout = this.store.add(runner);
+    runner.start();
   }
 
   private applyTable(table: RoutingTable): void {
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -13,8 +13,10 @@
   readonly fleet: FleetView;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Whether this process itself did not run for a while just now. */
+  readonly wasPaused: () => boolean;
   /** A server was found not to answer. */
-  readonly onSuspect: (address: ServerAddress) => void;
+  readonly onSuspect: () => void;
 }
 
 /** Reports lag by some 200 ms, so asking more often shows nothing new. */
@@ -23,43 +25,89 @@
 /** Time for a report; servers answer within a few milliseconds. */
 const REPORT_TIMEOUT_MS = 350;
 
+/** Period of probes to suspected servers. */
+export const PROBE_PERIOD_MS = 1000;
+
+/** Streams of a server count as moving for this time after an event. */
+const ACTIVE_MS = 400;
+
 export class PathDoctor {
   private readonly askedAtMs = new Map<ServerAddress, number>();
+  private readonly activeAtMs = new Map<ServerAddress, number>();
 
   constructor(private readonly options: PathDoctorOptions) {}
 
-  /** Asks the first server of a silent stream, at most once a period. */
-  examine(first: ServerAddress): void {
+  /** An event came from a stream that begins at this server. */
+  noteEvent(first: ServerAddress, nowMs: number): void {
+    this.activeAtMs.set(first, nowMs);
+  }
+
+  /** Whether other streams of this server get events. */
+  isActive(first: ServerAddress, nowMs: number): boolean {
+    return nowMs - (this.activeAtMs.get(first) ?? -Infinity) < ACTIVE_MS;
+  }
+
+  /** Asks a server about its streams and itself, at most once a period. */
+  examine(address: ServerAddress): void {
     const {nowMs, fleet} = this.options;
     const now = nowMs();
-    if (fleet.isSuspected(first)) return;
-    const lastMs = this.askedAtMs.get(first) ?? -Infinity;
+    if (fleet.isSuspected(address)) return;
+    const lastMs = this.askedAtMs.get(address) ?? -Infinity;
     if (now - lastMs < MIN_PERIOD_MS) return;
-    this.askedAtMs.set(first, now);
-    void this.ask(first);
+    this.askedAtMs.set(address, now);
+    void this.ask(address);
   }
 
-  /** Records a server that gave no answer on a request's own connection. */
+  /** Records a server that gave no answer. */
   suspect(address: ServerAddress, cause: string): void {
-    const {fleet, logger, nowMs, onSuspect} = this.options;
-    if (!fleet.suspect(address, cause, nowMs())) return;
+    const {fleet, logger, onSuspect, wasPaused} = this.options;
+    if (wasPaused() || !fleet.at(address)) return;
+    if (!fleet.suspect(address, cause)) return;
     logger.warn('server suspected', {peer: address, cause});
-    onSuspect(address);
+    onSuspect();
+  }
+
+  /** Ends suspicions of servers that answer again or are gone. */
+  async probeSuspected(): Promise<void> {
+    const {fleet} = this.options;
+    await Promise.all(
+      fleet.ownSuspicions().map(address => this.probe(address)),
+    );
+  }
+
+  private async probe(address: ServerAddress): Promise<void> {
+    const {fleet, control, logger} = this.options;
+    if (!fleet.at(address)) {
+      fleet.clearSuspicion(address);
+      return;
+    }
+    try {
+      const report = await control.report(address, REPORT_TIMEOUT_MS);
+      fleet.correctLayers(address, report.layers);
+      if (!fleet.clearSuspicion(address)) return;
+      logger.info('server answers again', {peer: address});
+    } catch (error) {
+      logger.debug('suspected server is silent', {
+        peer: address,
+        cause: String(error),
+      });
+    }
   }
 
-  private async ask(first: ServerAddress): Promise<void> {
-    const {control, logger} = this.options;
+  private async ask(address: ServerAddress): Promise<void> {
+    const {control, fleet, logger} = this.options;
     try {
-      const report = await control.report(first, REPORT_TIMEOUT_MS);
-      const addresses = new Set(report.stalled.map(({address}) => address));
-      for (const address of addresses) {
-        this.suspect(address, `requests at ${first} wait for it`);
+      const report = await control.report(address, REPORT_TIMEOUT_MS);
+      fleet.correctLayers(address, report.layers);
+      const silent = new Set(report.stalled.map(stalled => stalled.address));
+      for (const other of silent) {
+        this.suspect(other, `requests at ${address} wait for it`);
       }
-      if (addresses.size > 0) return;
+      if (silent.size > 0) return;
       const {isBusy, pace} = report;
-      logger.info('silent server answers', {peer: first, isBusy, pace});
+      logger.info('silent server answers', {peer: address, isBusy, pace});
     } catch (error) {
-      this.suspect(first, String(error));
+      this.suspect(address, String(error));
     }
   }
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -23,9 +23,13 @@
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeHead} from '../gateway/write_answer.js';
-import type {ServerChain} from '../paths/find_chains.js';
+import {toChain, type ServerChain} from '../paths/find_chains.js';
 import {findPath} from '../paths/find_path.js';
-import {describePath, type ServerPath} from '../paths/server_path.js';
+import {
+  describePath,
+  type PathPart,
+  type ServerPath,
+} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {decideStream, type StreamDecision} from './decide_stream.js';
 import {EventSplitter} from './event_splitter.js';
@@ -54,8 +58,8 @@
 const FIRST_SILENCE_MS = 700;
 
 /**
- * Silence after which the stream moves although every server answers; callers
- * leave after 2 s.
+ * Silence after which a stream moves while others of its server get events;
+ * callers leave after 2 s.
  */
 const GIVE_UP_SILENCE_MS = 1300;
 
@@ -124,13 +128,16 @@
     const isFirst = this.firstEventAtMs === undefined;
     const silentMs = nowMs - this.lastEventAtMs;
     if (this.suspectedParts().length > 0) return void this.leaveSuspected();
-    if (silentMs >= GIVE_UP_SILENCE_MS && !isFirst) {
-      return this.abandonServer('silent although every server answers');
+    const {doctor} = this.options;
+    const first = this.path[0].server.address;
+    // Where all streams are silent the path is overloaded, and moving them
+    // would only add to it.
+    const isAlone = doctor.isActive(first, nowMs);
+    if (silentMs >= GIVE_UP_SILENCE_MS && !isFirst && isAlone) {
+      return this.abandonServer('silent while other streams are not');
     }
     const limitMs = isFirst ? FIRST_SILENCE_MS : SILENCE_MS;
-    if (silentMs >= limitMs) {
-      this.options.doctor.examine(this.path[0].server.address);
-    }
+    if (silentMs >= limitMs) doctor.examine(first);
   }
 
   private send(path: ServerPath): void {
@@ -217,6 +224,7 @@
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     }
     this.lastEventAtMs = now;
+    this.options.doctor.noteEvent(this.path[0].server.address, now);
     const {res} = this.exchange;
     if (res.write(bytes)) return;
     // A slow reader stops the server instead of filling this process's memory.
@@ -245,7 +253,8 @@
     const first = this.path[0].server.address;
     if (notRun) {
       const faulty = faultyAddress ?? first;
-      if (faulty !== first) doctor.suspect(faulty, `status ${status}`);
+      // It may be dead, leaving, reloading or short of memory.
+      doctor.examine(faulty);
       this.lastCause = `status ${status} at ${faulty}`;
       return this.decide(first, true);
     }
@@ -342,13 +351,8 @@
     if (fleet.isSuspected(first.server.address)) {
       return this.abandonServer('the first server does not answer');
     }
-    const path = findPath({
-      model: this.model,
-      servers: fleet.usable(first.server.service),
-      current: this.path,
-      firstPart: first,
-    });
-    if (!path) return this.abandonServer('no server holds the lost layers');
+    const path = this.pathAround(first);
+    if (!path) return this.abandonServer('no near server holds the lost layers');
     this.isRepathing = true;
     const {upstream} = this;
     const request = this.exchange.request;
@@ -369,6 +373,31 @@
     this.abandonServer(`the path could not be changed: ${outcome.kind}`);
   }
 
+  /**
+   * A path with the same first part, without suspected servers and inside the
+   * zones of the present one: its new parts read all tokens so far again.
+   * Undefined also if other chains have more room than the replacement.
+   */
+  private pathAround(first: PathPart): ServerPath | undefined {
+    const {fleet, loads, nowMs} = this.options;
+    const zones = new Set(this.path.map(({server}) => server.availabilityZone));
+    const path = findPath({
+      model: this.model,
+      servers: fleet
+        .usable(first.server.service)
+        .filter(({availabilityZone}) => zones.has(availabilityZone)),
+      current: this.path,
+      firstPart: first,
+    });
+    if (!path) return undefined;
+    const chain = toChain(this.model, path);
+    const isCrowded = loads.usedPart(chain, nowMs()) > 1;
+    const excluded = new Set([first.server.address]);
+    const {costTokens} = this.item;
+    const canMove = this.admission.hasRoomElsewhere(costTokens, excluded);
+    return isCrowded && canMove ? undefined : path;
+  }
+
   private expire(): void {
     this.upstream?.abort();
     if (this.hasHead) {
--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -1,5 +1,5 @@
 /** One request to a backend server, over kept or single-use connections. */
-import {Agent, Client, type Dispatcher} from 'undici';
+import {Agent, Client, buildConnector, type Dispatcher} from 'undici';
 import type {ServerAddress} from '../fleet/backend_server.js';
 
 export interface UpstreamRequest {
@@ -37,8 +37,28 @@
 /** A connection is not used in the last part of the server's idle time. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+const connectSocket = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+
+/**
+ * Whether a connection is being reset right now. The client takes an answer
+ * without a length as complete when its connection is reset, inside the event
+ * of the reset.
+ */
+let isResetting = false;
+
+const connect: buildConnector.connector = (options, callback) => {
+  connectSocket(options, (error, socket) => {
+    if (!socket) return callback(error ?? new Error('no socket'), null);
+    socket.prependListener('error', () => {
+      isResetting = true;
+      process.nextTick(() => (isResetting = false));
+    });
+    callback(null, socket);
+  });
+};
+
 const OPTIONS = {
-  connect: {timeout: CONNECT_TIMEOUT_MS},
+  connect,
   keepAliveTimeout: KEEP_ALIVE_MS,
   keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
   pipelining: 1,
@@ -110,7 +130,8 @@
           release();
           if (this.isOver) return;
           this.isOver = true;
-          handlers.onEnd();
+          if (!isResetting) return handlers.onEnd();
+          handlers.onFailure({cause: 'reset in the answer', mayHaveRun: true});
         },
         onResponseError: (_, error) => {
           release();
--- /dev/null
+++ b/packages/forwarding/test/fleet_fixture.ts
@@ -0,0 +1,72 @@
+/** Fleets like those of the two users, for tests of decisions. */
+import type {ServerId, ServiceId} from '@azurecrank/core';
+import {
+  applyOrders,
+  planLayout,
+  type BackendServer,
+  type ModelSpec,
+} from '@azurecrank/forwarding';
+
+export const SERVICE = 'assistant' as ServiceId;
+
+export const MODEL: ModelSpec = {
+  layers: 80,
+  layerMb: 1750,
+  kvBytesPerToken: 845_373,
+  stepMs: 0.85,
+  stepPerSequenceMs: 0.0055,
+  prefillTokensPerMs: 196,
+  slots: 134,
+  activationBytes: 42_268,
+  zonePipeMbps: 11_000,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 174,
+  accelerators: new Map(
+    [
+      {name: 'h100', memoryMb: 72_000, decodeFactor: 1.4, prefillFactor: 1},
+      {name: 'a100s', memoryMb: 36_000, decodeFactor: 3.1, prefillFactor: 3.2},
+      {name: 'l4', memoryMb: 21_600, decodeFactor: 16, prefillFactor: 8.2},
+      {name: 't4', memoryMb: 14_400, decodeFactor: 15, prefillFactor: 15},
+    ].map(kind => [kind.name, kind]),
+  ),
+};
+
+/** Servers by zone and kind, as on the users' sheets. */
+const COUNTS: ReadonlyArray<readonly [string, string, number]> = [
+  ['river', 'h100', 1],
+  ['river', 'a100s', 1],
+  ['mill', 'a100s', 1],
+  ['depot', 'a100s', 2],
+  ['river', 'l4', 5],
+  ['mill', 'l4', 8],
+  ['depot', 'l4', 4],
+  ['river', 't4', 7],
+  ['mill', 't4', 3],
+  ['depot', 't4', 7],
+];
+
+/** 39 servers that hold nothing. */
+export function emptyFleet(): BackendServer[] {
+  let number = 10;
+  return COUNTS.flatMap(([availabilityZone, accelerator, count]) =>
+    Array.from({length: count}, () => {
+      number++;
+      return {
+        server: `s${number}` as ServerId,
+        service: SERVICE,
+        address: `10.0.0.${number}:80`,
+        availabilityZone,
+        state: 'ready' as const,
+        bornAtMs: 1,
+        accelerator,
+        layers: undefined,
+      };
+    }),
+  );
+}
+
+/** The fleet with the layout that is planned for it. */
+export function laidOutFleet(): BackendServer[] {
+  const servers = emptyFleet();
+  return applyOrders(servers, planLayout(MODEL, servers));
+}
