Recognise resets that the runtime reports as an ordinary end

Cause: a reset that arrives together with data reaches the program as 'end' (the event loop short-circuits a hang-up after a partial read), so an answer without a length that a crash had cut was passed on as complete. A connection that was reset has no peer address any more. Test: upstream_test 'reset at once' (failed before, both ways of connecting).

--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -42,16 +42,24 @@
 /**
  * Whether a connection is being reset right now. The client takes an answer
  * without a length as complete when its connection is reset, inside the event
- * of the reset.
+ * that tells of the reset.
  */
 let isResetting = false;
 
+function noteReset(): void {
+  isResetting = true;
+  process.nextTick(() => (isResetting = false));
+}
+
 const connect: buildConnector.connector = (options, callback) => {
   connectSocket(options, (error, socket) => {
     if (!socket) return callback(error ?? new Error('no socket'), null);
-    socket.prependListener('error', () => {
-      isResetting = true;
-      process.nextTick(() => (isResetting = false));
+    socket.prependListener('error', noteReset);
+    // The runtime reports a reset that comes together with data as an ordinary
+    // end. A connection that was reset has no peer any more, one that was
+    // closed in order still has.
+    socket.prependListener('end', () => {
+      if (socket.remoteAddress === undefined) noteReset();
     });
     callback(null, socket);
   });
--- /dev/null
+++ b/packages/forwarding/test/upstream_test.ts
@@ -0,0 +1,125 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {
+  Upstream,
+  type UpstreamFailure,
+  type ServerAddress,
+} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+
+type Outcome =
+  | {readonly kind: 'ended'; readonly status: number; readonly body: string}
+  | ({readonly kind: 'failed'} & UpstreamFailure);
+
+/** Answers of a server by what it writes and how it ends the connection. */
+describe('Upstream', () => {
+  let server: Server;
+  let upstream: Upstream;
+  let address: ServerAddress;
+  let behave: (socket: Socket) => void;
+
+  beforeEach(async () => {
+    upstream = new Upstream();
+    server = createServer(socket => {
+      socket.on('error', () => {});
+      socket.once('data', () => behave(socket));
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const bound = server.address();
+    const port = typeof bound === 'object' && bound ? bound.port : 0;
+    address = `127.0.0.1:${port}`;
+  });
+
+  afterEach(() => {
+    upstream[Symbol.dispose]();
+    server.close();
+  });
+
+  function send(isSingleUse: boolean): Promise<Outcome> {
+    let status = 0;
+    const chunks: Buffer[] = [];
+    return new Promise(resolve => {
+      upstream.send(
+        {
+          address,
+          method: 'POST',
+          target: '/booking',
+          headers: ['host', 'shop.example'],
+          body: Buffer.from('{}'),
+          isSingleUse,
+        },
+        {
+          onHead: code => (status = code),
+          onData: chunk => void chunks.push(chunk),
+          onEnd: () => {
+            const body = Buffer.concat(chunks).toString();
+            resolve({kind: 'ended', status, body});
+          },
+          onFailure: failure => resolve({kind: 'failed', ...failure}),
+        },
+      );
+    });
+  }
+
+  for (const isSingleUse of [true, false]) {
+    describe(isSingleUse ? 'new connection' : 'kept connection', () => {
+      it('takes an answer without length as complete at its end', async () => {
+        behave = socket => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\nwhole');
+          setTimeout(() => socket.end(), 10);
+        };
+        const outcome = await send(isSingleUse);
+        expect(outcome).toEqual({kind: 'ended', status: 200, body: 'whole'});
+      });
+
+      it('reports an answer without length that is reset later', async () => {
+        behave = socket => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+          setTimeout(() => socket.resetAndDestroy(), 30);
+        };
+        const outcome = await send(isSingleUse);
+        expect(outcome.kind).toEqual('failed');
+      });
+
+      it('reports an answer without length that is reset at once', async () => {
+        behave = socket => {
+          const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
+          socket.write(head);
+          setImmediate(() => socket.resetAndDestroy());
+        };
+        const outcome = await send(isSingleUse);
+        expect(outcome.kind).toEqual('failed');
+      });
+
+      it('reports an answer shorter than its length', async () => {
+        behave = socket => {
+          const head = 'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart';
+          socket.end(head);
+        };
+        const outcome = await send(isSingleUse);
+        expect(outcome.kind).toEqual('failed');
+      });
+
+      it('reports a chunked answer without its last chunk', async () => {
+        behave = socket => {
+          const head =
+            'HTTP/1.1 200 OK\r\nConnection: close\r\n' +
+            'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n';
+          socket.end(head);
+        };
+        const outcome = await send(isSingleUse);
+        expect(outcome.kind).toEqual('failed');
+      });
+    });
+  }
+
+  it('knows that nothing was sent where nobody listens', async () => {
+    address = '127.0.0.1:1';
+    const outcome = await send(true);
+    expect(outcome).toLooseEqual({
+      kind: 'failed',
+      mayHaveRun: false,
+      cause: expect.a(String),
+    });
+  });
+});
