--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -156,7 +156,14 @@
 
   private tick(): void {
     const nowMs = this.options.nowMs();
-    for (const stream of [...this.streams]) stream.tick(nowMs);
+    for (const stream of [...this.streams]) {
+      try {
+        stream.tick(nowMs);
+      } catch (error) {
+        // One faulty stream must not end the process and all others.
+        stream.failInternally(error);
+      }
+    }
   }
 }
 
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -33,7 +33,7 @@
 import {LayoutRunner} from '../placement/layout_runner.js';
 import {CallServers} from '../relay/call_servers.js';
 import {PROBE_PERIOD_MS, PathDoctor} from '../relay/path_doctor.js';
-import {Upstream} from '../relay/upstream.js';
+import {HttpUpstream} from '../relay/upstream.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {TableHolder} from '../routing/table_holder.js';
 import type {ForwardingSettings} from './forwarding_settings.js';
@@ -116,7 +116,7 @@
         onSuspect: () => this.layout?.hurry(),
       }),
     );
-    const upstream = this.store.add(new Upstream());
+    const upstream = this.store.add(new HttpUpstream());
     const refusals = new RefusalSender(metrics, logger, 'fractions');
     const budget = new RetryBudget(nowMs(), RETRIES);
     const common = {
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -21,7 +21,7 @@
   type AttemptOutcome,
   type CallDecision,
 } from './decide_call.js';
-import type {Upstream, UpstreamExchange} from './upstream.js';
+import type {Exchange, Upstream} from './upstream.js';
 
 export interface CallRelayOptions {
   readonly availabilityZone: string;
@@ -60,7 +60,7 @@
 /** One call with all its attempts. */
 export class CallRelay {
   private readonly excluded = new Set<ServerAddress>();
-  private upstream: UpstreamExchange | undefined;
+  private upstream: Exchange | undefined;
   private timer: NodeJS.Timeout | undefined;
   private server: BackendServer | undefined;
   private sentAtMs = 0;
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -38,7 +38,7 @@
 } from './decide_stream.js';
 import {EventSplitter} from './event_splitter.js';
 import type {PathDoctor} from './path_doctor.js';
-import type {Upstream, UpstreamExchange} from './upstream.js';
+import type {Exchange, Upstream} from './upstream.js';
 
 export interface StreamRelayOptions {
   readonly upstream: Upstream;
@@ -77,7 +77,7 @@
 
 export class StreamRelay {
   private splitter: EventSplitter;
-  private upstream: UpstreamExchange | undefined;
+  private upstream: Exchange | undefined;
   private path: ServerPath = [];
   private reservedAt: ServerAddress | undefined;
   private sentAtMs = 0;
@@ -126,6 +126,20 @@
     this.options.refusals.refuse(this.exchange, refusal);
   }
 
+  /** Ends the stream after an error of this program. */
+  failInternally(error: unknown): void {
+    if (this.isOver) return;
+    const detail = error instanceof Error ? (error.stack ?? '') : String(error);
+    this.upstream?.abort();
+    this.end();
+    const refusal = refuse('internal_error', 'respond', {
+      ran: 'unknown',
+      detail,
+    });
+    this.options.refusals.refuse(this.exchange, refusal);
+    if (this.hasHead) this.exchange.res.destroy();
+  }
+
   /** Looks at silence and deadline; called some times a second. */
   tick(nowMs: number): void {
     if (this.isOver) return;
@@ -136,7 +150,10 @@
     if (this.path.length === 0 || this.isRepathing) return;
     const isFirst = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.movedAtMs);
-    if (this.suspectedParts().length > 0) return void this.leaveSuspected();
+    if (this.suspectedParts().length > 0) {
+      this.leaveSuspected().catch(error => this.failInternally(error));
+      return;
+    }
     const {doctor} = this.options;
     const first = this.path[0].server.address;
     // Where all streams are silent the path is overloaded, and moving them
@@ -286,7 +303,7 @@
   }
 
   private loseServer(cause: string, mayHaveRun: boolean): void {
-    if (this.isOver) return;
+    if (this.isOver || this.path.length === 0) return;
     const first = this.path[0].server.address;
     this.lastCause = cause;
     if (mayHaveRun) this.mayHaveRun = true;
@@ -318,6 +335,7 @@
     });
     this.releaseMemory();
     this.path = [];
+    this.upstream = undefined;
     if (decision === 'queue_again' || decision === 'resume') {
       budget.take(now);
       const reason = isLive ? 'refused_elsewhere' : 'stage_lost';
--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -105,6 +105,20 @@
     this.controller?.resume();
   }
 
+  /**
+   * The client swallows what a handler throws, for example for headers that
+   * cannot be passed on; the caller would wait for its answer in vain.
+   */
+  private guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.isOver = true;
+      this.controller?.abort(new Error('aborted'));
+      this.handlers.onFailure({cause: describe(error), mayHaveRun: true});
+    }
+  }
+
   /** Starts the exchange. `release` runs once when the connection is free. */
   dispatch(
     dispatcher: Dispatcher,
@@ -129,16 +143,17 @@
         },
         onResponseStart: (controller, status) => {
           if (this.isOver || status < 200) return;
-          handlers.onHead(status, toStrings(controller.rawHeaders));
+          const headers = toStrings(controller.rawHeaders);
+          this.guard(() => handlers.onHead(status, headers));
         },
         onResponseData: (_, chunk) => {
-          if (!this.isOver) handlers.onData(chunk);
+          if (!this.isOver) this.guard(() => handlers.onData(chunk));
         },
         onResponseEnd: () => {
           release();
           if (this.isOver) return;
           this.isOver = true;
-          if (!isResetting) return handlers.onEnd();
+          if (!isResetting) return this.guard(() => handlers.onEnd());
           handlers.onFailure({cause: 'reset in the answer', mayHaveRun: true});
         },
         onResponseError: (_, error) => {
@@ -153,11 +168,25 @@
   }
 }
 
+/** The part of an exchange that relays use. */
+export type Exchange = Pick<
+  UpstreamExchange,
+  'abort' | 'pause' | 'resume' | 'wasSent'
+>;
+
+/** Sends requests to backend servers. */
+export abstract class Upstream {
+  abstract send(request: UpstreamRequest, handlers: UpstreamHandlers): Exchange;
+}
+
 /** Connections of this process to all backend servers. */
-export class Upstream implements Disposable {
+export class HttpUpstream extends Upstream implements Disposable {
   private readonly agent = new Agent(OPTIONS);
 
-  send(request: UpstreamRequest, handlers: UpstreamHandlers): UpstreamExchange {
+  override send(
+    request: UpstreamRequest,
+    handlers: UpstreamHandlers,
+  ): UpstreamExchange {
     const exchange = new UpstreamExchange(handlers);
     if (!request.isSingleUse) {
       exchange.dispatch(this.agent, request, () => {});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,3 +25,6 @@
 export * from './core/routing/route_index.js';
 export * from './core/routing/routing_table.js';
 export * from './core/routing/table_holder.js';
+export * from './core/relay/stream_relay.js';
+export * from './core/relay/call_relay.js';
+export * from './core/gateway/caller_exchange.js';
--- a/packages/forwarding/test/upstream_test.ts
+++ b/packages/forwarding/test/upstream_test.ts
@@ -1,7 +1,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {
-  Upstream,
+  HttpUpstream,
   type UpstreamFailure,
   type ServerAddress,
 } from '@azurecrank/forwarding';
@@ -12,14 +12,14 @@
   | ({readonly kind: 'failed'} & UpstreamFailure);
 
 /** Answers of a server by what it writes and how it ends the connection. */
-describe('Upstream', () => {
+describe('HttpUpstream', () => {
   let server: Server;
-  let upstream: Upstream;
+  let upstream: HttpUpstream;
   let address: ServerAddress;
   let behave: (socket: Socket) => void;
 
   beforeEach(async () => {
-    upstream = new Upstream();
+    upstream = new HttpUpstream();
     server = createServer(socket => {
       socket.on('error', () => {});
       socket.once('data', () => behave(socket));
