Fill gaps with free servers, shift live ones only as the last way

Cause: a server of a running chain that was ordered to shift its range carried it out 6.7 s later, after the requests on the layers that it gave up. Paths are found with each server looked at once, so that none is passed twice.

--- a/packages/forwarding/src/core/fleet/server_capacity.ts
+++ b/packages/forwarding/src/core/fleet/server_capacity.ts
@@ -29,47 +29,6 @@
   return (freeMb * BYTES_PER_MB) / (layerCacheBytes(model) * usedLayers);
 }
 
-/** Steps at which room for requests is tried when layers are divided. */
-const DIVIDE_STEP_TOKENS = 2000;
-const MOST_DIVIDE_TOKENS = 120_000;
-
-/**
- * Divides layers over all servers in their order, so that the one with the
- * least room for requests has as much as possible. Undefined if the layers do
- * not fit beside `leastTokens`.
- */
-export function divideLayers(
-  model: ModelSpec,
-  servers: readonly BackendServer[],
-  layers: number,
-  leastTokens: number,
-): number[] | undefined {
-  let best: number[] | undefined;
-  for (
-    let tokens = leastTokens;
-    tokens <= MOST_DIVIDE_TOKENS;
-    tokens += DIVIDE_STEP_TOKENS
-  ) {
-    const fits = servers.map(server => layersThatFit(model, server, tokens));
-    if (fits.reduce((sum, count) => sum + count, 0) < layers) break;
-    best = fits;
-  }
-  return best && trim(best, layers);
-}
-
-/** Takes the layers that are too many from the last servers. */
-function trim(counts: readonly number[], layers: number): number[] {
-  const trimmed = [...counts];
-  let excess = trimmed.reduce((sum, count) => sum + count, 0) - layers;
-  while (excess > 0) {
-    // From the end, where the slow servers stand.
-    const index = trimmed.findLastIndex(count => count > 0);
-    trimmed[index]--;
-    excess--;
-  }
-  return trimmed;
-}
-
 function memoryMb(model: ModelSpec, server: BackendServer): number {
   return model.accelerators.get(server.accelerator)?.memoryMb ?? 0;
 }
--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -22,16 +22,17 @@
 const LOCAL_HOP_MS = 0.3;
 
 /**
- * Cost of a layer that a chosen server holds and the path leaves out, so that
- * disjoint paths do not cut each other's servers to pieces.
+ * Part time at which its square counts as much as itself. The busiest part
+ * bounds the requests of a path, so that many small parts are better than few
+ * large ones as long as they gain more than the hops between them cost.
  */
-const UNUSED_LAYER_MS = 0.02;
+const BALANCE_MS = 4;
 
 /**
- * Cost of a part with room for `CROWDED_TOKENS`; in inverse proportion for
- * others. The smallest part bounds the requests of a whole chain.
+ * Cost of a part with room for `CROWDED_TOKENS`, falling with the square of
+ * the room: the smallest part bounds the requests of a whole chain.
  */
-const CROWDED_MS = 0.6;
+const CROWDED_MS = 1.5;
 const CROWDED_TOKENS = 30_000;
 
 /** Cost of a part that has to read all tokens so far again. */
@@ -46,54 +47,61 @@
   readonly firstPart?: PathPart;
 }
 
+/** The cheapest way found so far to a layer. */
 interface Best {
   readonly costMs: number;
   readonly parts: number;
   readonly part: PathPart | undefined;
-  readonly from: number;
+  readonly before: Best | undefined;
 }
 
 /** Returns undefined if the servers together do not hold all layers. */
 export function findPath(query: PathQuery): ServerPath | undefined {
-  const {model, firstPart, current} = query;
+  const {model, firstPart} = query;
   const begin = firstPart?.endLayer ?? 0;
-  const servers = query.servers.filter(
-    ({layers, server}) => layers && server !== firstPart?.server.server,
-  );
-  const ends = partEnds(servers, model.layers, current);
+  // Each server is looked at once, in the order of its layers, so that no path
+  // passes one twice.
+  const servers = query.servers
+    .filter(s => s.layers && s.server !== firstPart?.server.server)
+    .sort((a, b) => middle(a) - middle(b));
   const best: Array<Best | undefined> = new Array(model.layers + 1);
-  const parts = firstPart ? 1 : 0;
-  best[begin] = {costMs: 0, parts, part: firstPart, from: 0};
-  for (let layer = begin; layer < model.layers; layer++) {
-    const soFar = best[layer];
-    if (!soFar || soFar.parts >= MAX_PATH_PARTS) continue;
-    for (const server of servers) extend(query, best, layer, server, ends);
-  }
-  return trace(best, begin, model.layers, firstPart);
+  best[begin] = {
+    costMs: 0,
+    parts: firstPart ? 1 : 0,
+    part: firstPart,
+    before: undefined,
+  };
+  for (const server of servers) extend(query, best, server);
+  return trace(best[model.layers]);
+}
+
+/** Twice the middle of the held layers. */
+function middle({layers}: BackendServer): number {
+  return layers ? layers.firstLayer + layers.endLayer : 0;
 }
 
+/** Continues all paths so far with this server where that is cheaper. */
 function extend(
   {model, current}: PathQuery,
   best: Array<Best | undefined>,
-  layer: number,
   server: BackendServer,
-  ends: ReadonlySet<number>,
 ): void {
-  const soFar = best[layer];
   const held = server.layers;
-  if (!soFar || !held) return;
-  if (layer < held.firstLayer || layer >= held.endLayer) return;
-  if (soFar.part?.server.server === server.server) return;
-  for (let end = layer + 1; end <= held.endLayer; end++) {
-    if (end !== held.endLayer && !ends.has(end)) continue;
-    const part = {server, firstLayer: layer, endLayer: end};
-    const costMs =
-      soFar.costMs +
-      partCostMs(model, part, soFar.part) +
-      (current && !isIn(current, part) ? REREAD_MS : 0);
-    const known = best[end];
-    if (known && known.costMs <= costMs) continue;
-    best[end] = {costMs, parts: soFar.parts + 1, part, from: layer};
+  if (!held) return;
+  // Downwards, so that a part of this server is not continued by itself.
+  for (let layer = held.endLayer - 1; layer >= held.firstLayer; layer--) {
+    const before = best[layer];
+    if (!before || before.parts >= MAX_PATH_PARTS) continue;
+    for (let end = layer + 1; end <= held.endLayer; end++) {
+      const part = {server, firstLayer: layer, endLayer: end};
+      const costMs =
+        before.costMs +
+        partCostMs(model, part, before.part) +
+        (current && !isIn(current, part) ? REREAD_MS : 0);
+      const known = best[end];
+      if (known && known.costMs <= costMs) continue;
+      best[end] = {costMs, parts: before.parts + 1, part, before};
+    }
   }
 }
 
@@ -107,12 +115,10 @@
     model.accelerators.get(server.accelerator)?.decodeFactor ?? 1;
   const layers = endLayer - firstLayer;
   const computeMs = (model.stepMs * decodeFactor * layers) / model.layers;
-  const held = server.layers;
-  const unused = held ? held.endLayer - held.firstLayer - layers : 0;
   const room = Math.max(1, cacheCapacityTokens(model, server, layers));
-  const crowdedMs = (CROWDED_MS * CROWDED_TOKENS) / room;
-  const unusedMs = unused * UNUSED_LAYER_MS;
-  return computeMs + crowdedMs + unusedMs + hopMs(before, server);
+  const crowdedMs = CROWDED_MS * (CROWDED_TOKENS / room) ** 2;
+  const balanceMs = (computeMs * computeMs) / BALANCE_MS;
+  return computeMs + balanceMs + crowdedMs + hopMs(before, server);
 }
 
 function hopMs(before: PathPart | undefined, server: BackendServer): number {
@@ -121,18 +127,6 @@
   return isLocal ? LOCAL_HOP_MS : ZONE_HOP_MS;
 }
 
-/** Layers at which a part may end: where another one could take over. */
-function partEnds(
-  servers: readonly BackendServer[],
-  layers: number,
-  current: ServerPath = [],
-): Set<number> {
-  const ends = new Set([layers]);
-  for (const {layers: held} of servers) if (held) ends.add(held.firstLayer);
-  for (const {endLayer} of current) ends.add(endLayer);
-  return ends;
-}
-
 function isIn(path: ServerPath, part: PathPart): boolean {
   return path.some(
     other =>
@@ -142,21 +136,11 @@
   );
 }
 
-function trace(
-  best: ReadonlyArray<Best | undefined>,
-  begin: number,
-  layers: number,
-  firstPart: PathPart | undefined,
-): ServerPath | undefined {
+function trace(last: Best | undefined): ServerPath | undefined {
+  if (!last) return undefined;
   const path: PathPart[] = [];
-  let layer = layers;
-  while (layer > begin) {
-    const step = best[layer];
-    if (!step?.part) return undefined;
+  for (let step: Best | undefined = last; step?.part; step = step.before) {
     path.unshift(step.part);
-    layer = step.from;
   }
-  if (firstPart) path.unshift(firstPart);
-  const servers = new Set(path.map(({server}) => server.server));
-  return servers.size === path.length ? path : undefined;
+  return path;
 }
--- a/packages/forwarding/src/core/placement/fill_gaps.ts
+++ b/packages/forwarding/src/core/placement/fill_gaps.ts
@@ -1,16 +1,20 @@
 /** Completes a broken chain by moving as few layers as possible. */
-import type {BackendServer} from '../fleet/backend_server.js';
-import {divideLayers, layersThatFit} from '../fleet/server_capacity.js';
+import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
+import {layersThatFit} from '../fleet/server_capacity.js';
+import {findPath} from '../paths/find_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
+import {divideLayers} from './divide_layers.js';
 import type {LayoutOrder} from './plan_layout.js';
 
 /** Memory left for requests on a server that fills a gap, in tokens. */
 const GAP_TOKENS = 24_000;
 
 /**
- * Keeps servers that together hold as many layers as possible and gives the
- * missing ones to the others, first to those that hold nothing. Returns no
- * orders if the others cannot hold them.
+ * Orders that make a chain of servers of which some were lost. Servers that no
+ * request needs take over the missing layers. Only if there are too few of
+ * them a server of the chain shifts its range, which waits until the requests
+ * on the layers that it gives up have ended. Returns no orders if the missing
+ * layers fit nowhere.
  */
 export function fillGaps(
   model: ModelSpec,
@@ -18,6 +22,68 @@
 ): LayoutOrder[] {
   const kept = keepCover(model, servers);
   if (kept.length === 0) return [];
+  const filled = fillWithFree(model, servers, kept);
+  if (filled.length > 0) return filled;
+  const shifted = shiftOne(model, servers, firstGap(model, kept));
+  return shifted ? [shifted] : [];
+}
+
+/** One server that holds the gap completes the chain. */
+function shiftOne(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  gap: LayerRange,
+): LayoutOrder | undefined {
+  const emptyFirst = [...servers].sort(
+    (a, b) => Number(a.layers !== undefined) - Number(b.layers !== undefined),
+  );
+  for (const server of emptyFirst) {
+    const fitting = layersThatFit(model, server, GAP_TOKENS);
+    if (fitting < gap.endLayer - gap.firstLayer) continue;
+    for (const range of rangesAround(model, gap, fitting)) {
+      const moved = servers.map(other =>
+        other === server ? {...server, layers: range} : other,
+      );
+      if (findPath({model, servers: moved})) return {server, range};
+    }
+  }
+  return undefined;
+}
+
+/** Ranges of the given size that begin or end with the gap. */
+function rangesAround(
+  model: ModelSpec,
+  gap: LayerRange,
+  size: number,
+): LayerRange[] {
+  const endLayer = Math.min(model.layers, gap.firstLayer + size);
+  const firstLayer = Math.max(0, gap.endLayer - size);
+  return [
+    {firstLayer: gap.firstLayer, endLayer},
+    {firstLayer, endLayer: gap.endLayer},
+  ];
+}
+
+function firstGap(
+  model: ModelSpec,
+  kept: readonly BackendServer[],
+): LayerRange {
+  let layer = 0;
+  for (;;) {
+    const next = kept.find(({layers}) => holds(layers, layer));
+    if (!next?.layers) break;
+    layer = next.layers.endLayer;
+  }
+  const endLayer = nextStart(kept, layer, model.layers);
+  return {firstLayer: layer, endLayer};
+}
+
+/** Keeps the cover and gives the missing layers to all other servers. */
+function fillWithFree(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  kept: readonly BackendServer[],
+): LayoutOrder[] {
   const free = servers.filter(server => !kept.includes(server));
   const orders: LayoutOrder[] = [];
   let layer = 0;
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -34,7 +34,7 @@
 const SETTLE_MS = 1200;
 
 /** An order is taken to be under way for this time, in milliseconds. */
-const ORDER_PENDING_MS = 9000;
+const ORDER_PENDING_MS = 4000;
 
 /** Time for a report before an order. */
 const REPORT_TIMEOUT_MS = 600;
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -6,9 +6,11 @@
  * moved as little as possible.
  */
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
-import {divideLayers, layersThatFit} from '../fleet/server_capacity.js';
-import {findChains} from '../paths/find_chains.js';
+import {cacheCapacityTokens, layersThatFit} from '../fleet/server_capacity.js';
+import {findChains, type ServerChain} from '../paths/find_chains.js';
+import type {PathPart} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
+import {divideLayers, layerCost} from './divide_layers.js';
 import {fillGaps} from './fill_gaps.js';
 
 export interface LayoutOrder {
@@ -25,6 +27,12 @@
 /** Tokens for which servers that stand by leave memory. */
 const STANDBY_TOKENS = 24_000;
 
+/** A chain with less room than this is reinforced. */
+const LITTLE_ROOM_TOKENS = 45_000;
+
+/** A reinforcement has to be worth the weights that are loaded for it. */
+const REINFORCEMENT_GAIN = 1.25;
+
 /** Least memory for requests of a chain that leaves its zone. */
 const CROSS_ZONE_TOKENS = 12_000;
 
@@ -56,7 +64,10 @@
       chains[0].path.map(({server}) => server.server),
     );
     const others = servers.filter(({server}) => !inChain.has(server));
-    return planStandby(model, others);
+    const standby = planStandby(model, others);
+    if (standby.length > 0) return standby;
+    const order = reinforce(model, servers, chains[0], others);
+    return order ? [order] : [];
   }
   const filled = fillGaps(model, servers);
   if (filled.length === 0) return planNewChain(model, servers);
@@ -64,6 +75,36 @@
   return [...filled, ...planZoneStandby(model, rest)];
 }
 
+/**
+ * A chain whose smallest part has little room, for example since a copy has
+ * taken the place of a lost server, gets a second copy of that part.
+ */
+function reinforce(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  chain: ServerChain,
+  others: readonly BackendServer[],
+): LayoutOrder | undefined {
+  if (chain.capacityTokens >= LITTLE_ROOM_TOKENS) return undefined;
+  const part = chain.path.reduce((least, other) =>
+    room(model, other) < room(model, least) ? other : least,
+  );
+  for (const server of sortBySpeed(model, others)) {
+    const fitting = layersThatFit(model, server, STANDBY_TOKENS);
+    const endLayer = Math.min(model.layers, part.firstLayer + fitting);
+    const order = {server, range: {firstLayer: part.firstLayer, endLayer}};
+    const [better] = findChains(model, applyOrders(servers, [order]));
+    const gain = (better?.capacityTokens ?? 0) / chain.capacityTokens;
+    if (gain >= REINFORCEMENT_GAIN) return order;
+  }
+  return undefined;
+}
+
+function room(model: ModelSpec, part: PathPart): number {
+  const layers = part.endLayer - part.firstLayer;
+  return cacheCapacityTokens(model, part.server, layers);
+}
+
 /** Standby of the servers that a completed chain leaves over. */
 function planZoneStandby(
   model: ModelSpec,
@@ -193,17 +234,14 @@
   return [...new Set(servers.map(s => s.availabilityZone))].sort();
 }
 
-/** Fast servers first, and of two alike the one with more memory. */
+/** Fast servers first. */
 function sortBySpeed(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): BackendServer[] {
-  const cost = ({accelerator}: BackendServer) => {
-    const kind = model.accelerators.get(accelerator);
-    // Reading a prompt takes about half as long as writing an answer.
-    return kind ? kind.decodeFactor + kind.prefillFactor / 2 : Infinity;
-  };
   return [...servers].sort(
-    (a, b) => cost(a) - cost(b) || (a.server < b.server ? -1 : 1),
+    (a, b) =>
+      layerCost(model, a) - layerCost(model, b) ||
+      (a.server < b.server ? -1 : 1),
   );
 }
