Use all servers of a zone and divide their layers anew after a loss

Cause: chains of the fastest servers with idle standby copies left 175,000 tokens of room, some 60 requests a second at the measured 2.7 to 4.6 s an answer; in a burst with one chain lost the rest waited or was refused. Change: one chain a zone with 80,000 tokens, layers by speed; a loss is mended by dynamic programming over what servers hold and what is in use.

--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -26,7 +26,7 @@
  * bounds the requests of a path, so that many small parts are better than few
  * large ones as long as they gain more than the hops between them cost.
  */
-const BALANCE_MS = 4;
+const BALANCE_MS = 0.5;
 
 /**
  * Cost of a part with room for `CROWDED_TOKENS`, falling with the square of
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -1,17 +1,17 @@
 /**
- * Which layers each server of a model should hold. Each availability zone gets
- * one chain of its fastest servers; its other servers stand by with second
- * copies of the layers. Chains that leave their zone are the last resort,
- * because prompts between zones share one slow pipe. What is held already is
- * moved as little as possible.
+ * Which layers each server of a model should hold. All servers of an
+ * availability zone form one chain, with the layers divided by their speed and
+ * copies in the memory that is left. Chains that leave their zone are the last
+ * resort, because prompts between zones share one slow pipe. What is held
+ * already is moved as little as possible.
  */
+import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
-import {cacheCapacityTokens, layersThatFit} from '../fleet/server_capacity.js';
-import {findChains, type ServerChain} from '../paths/find_chains.js';
-import type {PathPart} from '../paths/server_path.js';
+import {layersThatFit} from '../fleet/server_capacity.js';
+import {findChains} from '../paths/find_chains.js';
 import type {ModelSpec} from '../routing/routing_table.js';
-import {divideLayers, layerCost} from './divide_layers.js';
-import {fillGaps} from './fill_gaps.js';
+import {divideLayers, layerCost, rangesWithCopies} from './divide_layers.js';
+import {redivide, type Division} from './redivide.js';
 
 export interface LayoutOrder {
   readonly server: BackendServer;
@@ -20,21 +20,23 @@
 
 /**
  * Tokens of requests for which each server of a chain leaves memory: room for
- * some 50 requests where the zone allows it, fewer in a small zone.
+ * some 90 requests where the zone allows it, fewer in a small zone.
  */
-const CHAIN_TOKENS = [50_000, 40_000, 32_000, 24_000, 16_000, 8_000];
+const CHAIN_TOKENS = [
+  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 16_000, 8_000, 4_000,
+];
 
-/** Tokens for which servers that stand by leave memory. */
-const STANDBY_TOKENS = 24_000;
+/** Least memory for requests of a chain that leaves its zone. */
+const CROSS_ZONE_TOKENS = 12_000;
 
-/** A chain with less room than this is reinforced. */
-const LITTLE_ROOM_TOKENS = 45_000;
+/** Longer chains gain little speed and pass more servers that may fail. */
+const MAX_MEMBERS = 20;
 
-/** A reinforcement has to be worth the weights that are loaded for it. */
-const REINFORCEMENT_GAIN = 1.25;
+/** A chain with less room than this is divided anew if that gains enough. */
+const LITTLE_ROOM_TOKENS = 60_000;
 
-/** Least memory for requests of a chain that leaves its zone. */
-const CROSS_ZONE_TOKENS = 12_000;
+/** More room has to be worth the weights that are loaded for it. */
+const LEAST_GAIN = 1.2;
 
 /** Returns the orders that lead from what is held to the wanted layout. */
 export function planLayout(
@@ -58,138 +60,120 @@
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  const chains = findChains(model, servers);
-  if (chains.length > 0) {
-    const inChain = new Set(
-      chains[0].path.map(({server}) => server.server),
-    );
-    const others = servers.filter(({server}) => !inChain.has(server));
-    const standby = planStandby(model, others);
-    if (standby.length > 0) return standby;
-    const order = reinforce(model, servers, chains[0], others);
-    return order ? [order] : [];
+  if (servers.every(({layers}) => !layers)) {
+    return planNewChains(model, servers);
   }
-  const filled = fillGaps(model, servers);
-  if (filled.length === 0) return planNewChain(model, servers);
-  const rest = applyOrders(servers, filled);
-  return [...filled, ...planZoneStandby(model, rest)];
+  const chains = findChains(model, servers);
+  const smallest = chains[chains.length - 1];
+  if (!smallest) return restoreChain(model, servers);
+  // Whole chains before the last one stay as they are.
+  const settled = new Set(
+    chains.slice(0, -1).flatMap(({path}) => path.map(p => p.server.server)),
+  );
+  const others = servers.filter(({server}) => !settled.has(server));
+  const wantsRoom = smallest.capacityTokens < LITTLE_ROOM_TOKENS;
+  const hasEmpty = others.some(({layers}) => !layers);
+  if (!wantsRoom && !hasEmpty) return [];
+  const leastTokens = wantsRoom
+    ? smallest.capacityTokens * LEAST_GAIN
+    : LITTLE_ROOM_TOKENS;
+  const inUse = new Map(
+    smallest.path.map(({server, firstLayer, endLayer}) => [
+      server.server,
+      {firstLayer, endLayer},
+    ]),
+  );
+  const division = bestDivision(model, others, leastTokens, inUse);
+  return division ? [...division.orders] : [];
 }
 
 /**
- * A chain whose smallest part has little room, for example since a copy has
- * taken the place of a lost server, gets a second copy of that part.
+ * Makes a chain again of servers of which some were lost. Servers keep what
+ * they hold, which loads least, unless that leaves too little room.
  */
-function reinforce(
-  model: ModelSpec,
-  servers: readonly BackendServer[],
-  chain: ServerChain,
-  others: readonly BackendServer[],
-): LayoutOrder | undefined {
-  if (chain.capacityTokens >= LITTLE_ROOM_TOKENS) return undefined;
-  const part = chain.path.reduce((least, other) =>
-    room(model, other) < room(model, least) ? other : least,
-  );
-  for (const server of sortBySpeed(model, others)) {
-    const fitting = layersThatFit(model, server, STANDBY_TOKENS);
-    const endLayer = Math.min(model.layers, part.firstLayer + fitting);
-    const order = {server, range: {firstLayer: part.firstLayer, endLayer}};
-    const [better] = findChains(model, applyOrders(servers, [order]));
-    const gain = (better?.capacityTokens ?? 0) / chain.capacityTokens;
-    if (gain >= REINFORCEMENT_GAIN) return order;
-  }
-  return undefined;
-}
-
-function room(model: ModelSpec, part: PathPart): number {
-  const layers = part.endLayer - part.firstLayer;
-  return cacheCapacityTokens(model, part.server, layers);
-}
-
-/** Standby of the servers that a completed chain leaves over. */
-function planZoneStandby(
+function restoreChain(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  return findChains(model, servers).length > 0 ? planZone(model, servers) : [];
+  const held = new Map(
+    servers.flatMap(({server, layers}): Array<[ServerId, LayerRange]> =>
+      layers ? [[server, layers]] : [],
+    ),
+  );
+  const division =
+    bestDivision(model, servers, LITTLE_ROOM_TOKENS / 2, held) ??
+    bestDivision(model, servers, 0, new Map());
+  return division ? [...division.orders] : planNewChains(model, servers);
 }
 
-/** A chain from nothing; servers that hold other layers give them up. */
-function planNewChain(
+/** The division with the most room, at least `leastTokens`. */
+function bestDivision(
   model: ModelSpec,
   servers: readonly BackendServer[],
-): LayoutOrder[] {
-  const sorted = sortBySpeed(model, servers);
+  leastTokens: number,
+  kept: ReadonlyMap<ServerId, LayerRange>,
+): Division | undefined {
+  const orderings = possibleOrderings(servers);
   for (const tokens of CHAIN_TOKENS) {
-    const chain = buildChain(model, sorted, tokens);
-    if (!chain) continue;
-    const used = new Set(chain.map(({server}) => server.server));
-    const others = servers.filter(({server}) => !used.has(server));
-    return [...withoutHeld(chain), ...planStandby(model, others)];
+    if (tokens < leastTokens) break;
+    const [cheapest] = orderings
+      .map(ordered => redivide({model, servers: ordered, tokens, kept}))
+      .filter(division => division !== undefined)
+      .sort((a, b) => a.costMs - b.costMs);
+    if (cheapest) return cheapest;
   }
-  return [];
+  return undefined;
 }
 
-/**
- * The first servers that together hold all layers beside so many tokens, with
- * the layers divided so that each has as much room as possible.
- */
-function buildChain(
-  model: ModelSpec,
+/** Servers that hold nothing may stand anywhere between the others. */
+function possibleOrderings(
   servers: readonly BackendServer[],
-  tokens: number,
-): LayoutOrder[] | undefined {
-  const members: BackendServer[] = [];
-  let fitting = 0;
-  for (const server of servers) {
-    if (fitting >= model.layers) break;
-    const layers = layersThatFit(model, server, tokens);
-    if (layers > 0) members.push(server);
-    fitting += layers;
-  }
-  const counts = divideLayers(model, members, model.layers, tokens);
-  if (!counts) return undefined;
-  let endLayer = 0;
-  return members.map((server, index) => {
-    const firstLayer = endLayer;
-    endLayer += counts[index];
-    return {server, range: {firstLayer, endLayer}};
-  });
+): BackendServer[][] {
+  const middle = ({layers}: BackendServer) =>
+    layers ? layers.firstLayer + layers.endLayer : 0;
+  const holding = servers
+    .filter(({layers}) => layers)
+    .sort((a, b) => middle(a) - middle(b));
+  const empty = servers.filter(({layers}) => !layers);
+  if (empty.length === 0) return [holding];
+  return Array.from({length: holding.length + 1}, (_, at) => [
+    ...holding.slice(0, at),
+    ...empty,
+    ...holding.slice(at),
+  ]);
 }
 
-/**
- * Second copies on servers that hold nothing, from the last layer down: a lost
- * part can be replaced on a running request unless it is the first one.
- */
-function planStandby(
+/** Chains from nothing; servers that hold other layers give them up. */
+function planNewChains(
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  const covered = servers.flatMap(({layers}) => layers ?? []);
+  const sorted = sortBySpeed(model, servers);
+  const chains = Math.ceil(sorted.length / MAX_MEMBERS);
   const orders: LayoutOrder[] = [];
-  let endLayer = model.layers;
-  const empty = servers.filter(({layers}) => !layers);
-  for (const server of sortBySpeed(model, empty)) {
-    endLayer = lowestUncovered(covered, endLayer);
-    if (endLayer <= 0) endLayer = model.layers;
-    const fitting = layersThatFit(model, server, STANDBY_TOKENS);
-    const firstLayer = Math.max(0, endLayer - fitting);
-    if (firstLayer === endLayer) continue;
-    orders.push({server, range: {firstLayer, endLayer}});
-    endLayer = firstLayer;
+  for (let chain = 0; chain < chains; chain++) {
+    // Dealt in turn, so that each chain gets fast servers.
+    const members = sorted.filter((_, i) => i % chains === chain);
+    orders.push(...(buildChain(model, members, CHAIN_TOKENS) ?? []));
   }
-  return orders;
+  return withoutHeld(orders);
 }
 
-/** The next layer downwards above which everything is covered. */
-function lowestUncovered(covered: readonly LayerRange[], from: number): number {
-  let layer = from;
-  for (;;) {
-    const range = covered.find(
-      ({firstLayer, endLayer}) => firstLayer < layer && layer <= endLayer,
-    );
-    if (!range) return layer;
-    layer = range.firstLayer;
+/** One chain of all these servers, with as much room as they allow. */
+function buildChain(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  candidates: readonly number[],
+): LayoutOrder[] | undefined {
+  for (const tokens of candidates) {
+    const counts = divideLayers(model, servers, model.layers, tokens);
+    if (!counts) continue;
+    const members = servers.filter((_, i) => counts[i] > 0);
+    const used = counts.filter(count => count > 0);
+    const ranges = rangesWithCopies(model, members, used, tokens);
+    return members.map((server, i) => ({server, range: ranges[i]}));
   }
+  return undefined;
 }
 
 /** One chain over all zones, zone by zone. */
@@ -198,15 +182,17 @@
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
   if (findChains(model, servers).length > 0) return [];
-  const filled = fillGaps(model, servers);
-  if (filled.length > 0) return filled;
-  const sorted = zonesOf(servers).flatMap(zone =>
-    sortBySpeed(
-      model,
-      servers.filter(s => s.availabilityZone === zone),
-    ),
-  );
-  return withoutHeld(buildChain(model, sorted, CROSS_ZONE_TOKENS) ?? []);
+  const members: BackendServer[] = [];
+  let fitting = 0;
+  for (const zone of zonesOf(servers)) {
+    const inZone = servers.filter(s => s.availabilityZone === zone);
+    for (const server of sortBySpeed(model, inZone)) {
+      if (fitting >= model.layers) break;
+      members.push(server);
+      fitting += layersThatFit(model, server, CROSS_ZONE_TOKENS);
+    }
+  }
+  return withoutHeld(buildChain(model, members, [CROSS_ZONE_TOKENS]) ?? []);
 }
 
 /** Leaves out what a server holds already. */
