Tell leaving servers by their health and keep the lease in an outage

Cause: with the store away, a quarter of the servers drained unseen; each path through them was refused with 503, and no entry gave orders because the renewal of the lease failed. Ruled out: memory (health of the refusing servers was 503). Running streams now leave servers that will end, the holder goes on under its fencing number, and peers tell a newer one.

--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -304,6 +304,10 @@
   readonly leaving: ReadonlyArray<readonly [string, number]>;
   /** Addresses of servers that do not answer. */
   readonly suspected: readonly string[];
+  /** Addresses of servers that refuse requests because they leave or fail. */
+  readonly refusing: readonly string[];
+  /** Highest fencing number of layout orders that the entry knows of. */
+  readonly layoutFence: number;
 }
 
 export type Message =
--- a/packages/forwarding/src/core/adapter/wire_codec.ts
+++ b/packages/forwarding/src/core/adapter/wire_codec.ts
@@ -163,7 +163,21 @@
   readonly expectedSequence: number;
 }
 
+export type Health =
+  | 'healthy'
+  /** The server says that it leaves or fails. */
+  | 'unhealthy'
+  /** The server has no place for the question. */
+  | 'busy'
+  | 'silent';
+
 export abstract class ServerControl {
+  abstract health(
+    address: ServerAddress,
+    path: string,
+    timeoutMs: number,
+  ): Promise<Health>;
+
   /** @throws ServerControlError */
   abstract report(
     address: ServerAddress,
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -4,9 +4,7 @@
  */
 import type {ServerId, ServiceId} from '@azurecrank/core';
 import type {BackendServer, LayerRange, ServerAddress} from './backend_server.js';
-
-/** A peer's suspicion that it no longer tells ends after this time. */
-const TOLD_SUSPICION_MS = 1500;
+import {ServerMarks} from './server_marks.js';
 
 /**
  * Servers that live are back in the directory within 2 s of its return, so an
@@ -14,15 +12,12 @@
  */
 export const LAPSED_GRACE_MS = 2200;
 
-interface Suspicion {
-  readonly cause: string;
-  /** Infinite for a suspicion of this entry, which ends by a probe. */
-  readonly untilMs: number;
-}
-
 export class FleetView {
   private readonly servers = new Map<ServerId, BackendServer>();
-  private readonly suspicions = new Map<ServerAddress, Suspicion>();
+  /** Servers that do not answer. */
+  private readonly silent = new ServerMarks();
+  /** Servers that answer, but refuse requests because they leave or fail. */
+  private readonly refusing = new ServerMarks();
   /** Missing since an outage of the directory, with the time they are gone. */
   private readonly lapsed = new Map<ServerId, number>();
   /** Servers that peers have reported as leaving, by start time. */
@@ -75,46 +70,54 @@
     for (const [server, goneAtMs] of this.lapsed) {
       if (goneAtMs <= nowMs) this.remove(server);
     }
-    for (const [address, {untilMs}] of this.suspicions) {
-      if (untilMs > nowMs) continue;
-      this.suspicions.delete(address);
-      this.changes++;
-    }
+    const hasEnded = [this.silent, this.refusing].map(m => m.expire(nowMs));
+    if (hasEnded.includes(true)) this.changes++;
   }
 
   /** Returns whether the server was not suspected before. */
-  suspect(address: ServerAddress, cause: string): boolean {
-    const isNew = !this.suspicions.has(address);
-    this.suspicions.set(address, {untilMs: Infinity, cause});
-    if (isNew) this.changes++;
-    return isNew;
+  suspect(address: ServerAddress): boolean {
+    return this.noteChange(this.silent.mark(address));
   }
 
   /** Takes the suspicion of a peer; lasts as long as it is repeated. */
-  suspectAsTold(address: ServerAddress, peer: string, nowMs: number): boolean {
-    const known = this.suspicions.get(address);
-    if (known?.untilMs === Infinity) return false;
-    const untilMs = nowMs + TOLD_SUSPICION_MS;
-    this.suspicions.set(address, {untilMs, cause: `told by ${peer}`});
-    if (!known) this.changes++;
-    return !known;
+  suspectAsTold(address: ServerAddress, nowMs: number): boolean {
+    return this.noteChange(this.silent.markAsTold(address, nowMs));
   }
 
   clearSuspicion(address: ServerAddress): boolean {
-    const wasSuspected = this.suspicions.delete(address);
-    if (wasSuspected) this.changes++;
-    return wasSuspected;
+    return this.noteChange(this.silent.clear(address));
   }
 
   isSuspected(address: ServerAddress): boolean {
-    return this.suspicions.has(address);
+    return this.silent.has(address);
   }
 
   /** Servers that this entry itself has found not to answer. */
   ownSuspicions(): ServerAddress[] {
-    return [...this.suspicions]
-      .filter(([, {untilMs}]) => untilMs === Infinity)
-      .map(([address]) => address);
+    return this.silent.own();
+  }
+
+  /** The server refuses requests; returns whether that is new. */
+  noteRefusing(address: ServerAddress): boolean {
+    return this.noteChange(this.refusing.mark(address));
+  }
+
+  noteRefusingAsTold(address: ServerAddress, nowMs: number): boolean {
+    return this.noteChange(this.refusing.markAsTold(address, nowMs));
+  }
+
+  clearRefusing(address: ServerAddress): boolean {
+    return this.noteChange(this.refusing.clear(address));
+  }
+
+  /** Servers that this entry itself has found to refuse requests. */
+  ownRefusing(): ServerAddress[] {
+    return this.refusing.own();
+  }
+
+  /** Whether the server takes no new requests although it may still live. */
+  isEnding(server: BackendServer): boolean {
+    return this.isLeaving(server) || this.refusing.has(server.address);
   }
 
   /** Takes what a server itself reports to hold. */
@@ -170,7 +173,12 @@
   /** Servers of the service that may get work. */
   usable(service: ServiceId): BackendServer[] {
     return this.staying(service).filter(
-      ({address}) => !this.suspicions.has(address),
+      ({address}) => !this.silent.has(address) && !this.refusing.has(address),
     );
   }
+
+  private noteChange(hasChanged: boolean): boolean {
+    if (hasChanged) this.changes++;
+    return hasChanged;
+  }
 }
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -31,8 +31,10 @@
   /** The routing table as it is stored, with its version. */
   readonly heldTable: () => {readonly version: number; readonly text: string};
   readonly offerTable: (text: string) => void;
-  /** A peer suspects a server that was not suspected here. */
-  readonly onSuspect: () => void;
+  /** A peer has found a server unusable that was usable here. */
+  readonly onServerLost: () => void;
+  readonly layoutFence: () => number;
+  readonly onLayoutFence: (fence: number) => void;
 }
 
 /** Period of shares; short against the time that requests hold memory. */
@@ -104,6 +106,8 @@
       waiting: waiting(),
       leaving: fleet.leavingServers(),
       suspected: fleet.ownSuspicions(),
+      refusing: fleet.ownRefusing(),
+      layoutFence: this.options.layoutFence(),
     };
   }
 
@@ -128,16 +132,25 @@
   }
 
   private takeShares(message: EntryShares, link: PeerLink): void {
-    const {loads, fleet, nowMs, onSuspect, logger} = this.options;
+    const {loads, fleet, nowMs, onServerLost, logger} = this.options;
     const now = nowMs();
     loads.notePeer(link.name, message.usedTokens, now);
     for (const [server, bornAtMs] of message.leaving) {
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
+    for (const address of message.refusing) {
+      if (!fleet.noteRefusingAsTold(address, now)) continue;
+      logger.info('server refuses requests', {
+        peer: address,
+        source: link.name,
+      });
+      onServerLost();
+    }
+    this.options.onLayoutFence(message.layoutFence);
     for (const address of message.suspected) {
-      if (!fleet.suspectAsTold(address, link.name, now)) continue;
+      if (!fleet.suspectAsTold(address, now)) continue;
       logger.info('server suspected', {peer: address, source: link.name});
-      onSuspect();
+      onServerLost();
     }
   }
 
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -53,6 +53,7 @@
   private isHolder = false;
   private isRunning = false;
   private seenServers = 0;
+  private newestFence = 0;
   private changedAtMs = -Infinity;
 
   constructor(private readonly options: LayoutRunnerOptions) {}
@@ -103,8 +104,26 @@
     const now = nowMs();
     if (this.isHolder && now - this.renewedAtMs < RENEWAL_PERIOD_MS) return;
     this.renewedAtMs = now;
-    this.isHolder = false;
+    // While the store is away nobody else can take the lease, and servers
+    // refuse the fencing number of a holder that has been replaced.
     this.isHolder = await lease.refresh();
+    if (lease.fence !== undefined) this.noteFence(lease.fence);
+  }
+
+  /** Highest fencing number that is known to have been used. */
+  get fence(): number {
+    return this.newestFence;
+  }
+
+  /** Another entry knows of a newer holder. */
+  noteFence(fence: number): void {
+    this.newestFence = Math.max(this.newestFence, fence);
+    const {lease, logger} = this.options;
+    const own = lease.fence;
+    if (own === undefined || own >= fence) return;
+    logger.warn('a newer holder gives the orders', {fence: own, newer: fence});
+    lease.stepDown();
+    this.isHolder = false;
   }
 
   private async giveOrders(): Promise<void> {
@@ -115,8 +134,8 @@
       const servers = fleet.staying(service);
       const isFresh = servers.every(({layers}) => !layers);
       if (isFresh && !this.isSettled(servers.length)) continue;
-      const expected = servers
-        .filter(({address}) => !fleet.isSuspected(address))
+      const expected = fleet
+        .usable(service)
         .map(server => this.withPending(server));
       const orders = planLayout(model, expected);
       await Promise.all(orders.map(order => this.give(order)));
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -113,7 +113,9 @@
         waiting: () => this.waiting(),
         heldTable: () => this.table.stored,
         offerTable: text => this.table.offer(text, 'peer'),
-        onSuspect: () => this.layout?.hurry(),
+        onServerLost: () => this.layout?.hurry(),
+        layoutFence: () => this.layout?.fence ?? 0,
+        onLayoutFence: fence => this.layout?.noteFence(fence),
       }),
     );
     const upstream = this.store.add(new HttpUpstream());
@@ -135,12 +137,14 @@
       logger,
       nowMs,
       wasPaused: () => this.pauses.pausedWithin(OWN_PAUSE_MS),
-      onSuspect: () => {
+      healthPathOf: service =>
+        this.table.table?.services.get(service)?.healthPath ?? '/',
+      onServerLost: () => {
         this.mesh.share();
         this.layout?.hurry();
       },
     });
-    this.store.interval(() => void doctor.probeSuspected(), PROBE_PERIOD_MS);
+    this.store.interval(() => void doctor.probeMarked(), PROBE_PERIOD_MS);
     this.gateway = this.store.add(
       new ForwardingGateway({
         wire: adapter.wire,
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -38,10 +38,12 @@
 
 export function decideStream(state: StreamState): StreamDecision {
   const {attempts, leftMs, reachedLive, maxAttempts, mayRetry} = state;
+  // Servers that stated that they did not run it do not count.
+  const mayReachMore = !state.mayHaveRun || reachedLive < maxAttempts;
   const isAllowed =
     attempts < MAX_ATTEMPTS &&
     leftMs >= LEAST_LEFT_MS &&
-    reachedLive < maxAttempts &&
+    mayReachMore &&
     mayRetry;
   const isRepeatable = state.isResumable || !state.mayHaveRun;
   const isInTime = !state.hasBegun || state.silentMs < MAX_SILENCE_MS;
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -3,7 +3,7 @@
  * other server its requests wait for; if it does not answer itself, it is the
  * one at fault. Asks each server once for all streams that wait for it.
  */
-import type {Logger} from '@azurecrank/core';
+import type {Logger, ServiceId} from '@azurecrank/core';
 import type {ServerControl} from '../adapter/wire_codec.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
@@ -15,12 +15,13 @@
   readonly nowMs: () => number;
   /** Whether this process itself did not run for a while just now. */
   readonly wasPaused: () => boolean;
-  /** A server was found not to answer. */
-  readonly onSuspect: () => void;
+  readonly healthPathOf: (service: ServiceId) => string;
+  /** A server was found not to answer, or to refuse requests. */
+  readonly onServerLost: () => void;
 }
 
 /** Reports lag by some 200 ms, so asking more often shows nothing new. */
-const MIN_PERIOD_MS = 250;
+const MIN_PERIOD_MS = 180;
 
 /** Time for a report; servers answer within a few milliseconds. */
 const REPORT_TIMEOUT_MS = 350;
@@ -49,30 +50,70 @@
 
   /** Asks a server about its streams and itself, at most once a period. */
   examine(address: ServerAddress): void {
-    const {nowMs, fleet} = this.options;
-    const now = nowMs();
-    if (fleet.isSuspected(address)) return;
-    const lastMs = this.askedAtMs.get(address) ?? -Infinity;
-    if (now - lastMs < MIN_PERIOD_MS) return;
-    this.askedAtMs.set(address, now);
-    void this.ask(address);
+    if (this.mayAsk(address)) void this.ask(address);
   }
 
   /** Records a server that gave no answer. */
   suspect(address: ServerAddress, cause: string): void {
-    const {fleet, logger, onSuspect, wasPaused} = this.options;
+    const {fleet, logger, onServerLost, wasPaused} = this.options;
     if (wasPaused() || !fleet.at(address)) return;
-    if (!fleet.suspect(address, cause)) return;
+    if (!fleet.suspect(address)) return;
     logger.warn('server suspected', {peer: address, cause});
-    onSuspect();
+    onServerLost();
   }
 
-  /** Ends suspicions of servers that answer again or are gone. */
-  async probeSuspected(): Promise<void> {
+  /**
+   * A server has refused a request: because it leaves or fails, which its
+   * health shows, or because it is short of memory.
+   */
+  examineRefusal(address: ServerAddress): void {
+    if (!this.mayAsk(address)) return;
+    void this.checkHealth(address);
+  }
+
+  /** Ends marks of servers that are well again or gone. */
+  async probeMarked(): Promise<void> {
     const {fleet} = this.options;
-    await Promise.all(
-      fleet.ownSuspicions().map(address => this.probe(address)),
-    );
+    await Promise.all([
+      ...fleet.ownSuspicions().map(address => this.probe(address)),
+      ...fleet.ownRefusing().map(address => this.checkHealth(address)),
+    ]);
+  }
+
+  private mayAsk(address: ServerAddress): boolean {
+    const {nowMs, fleet} = this.options;
+    const now = nowMs();
+    if (fleet.isSuspected(address)) return false;
+    const lastMs = this.askedAtMs.get(address) ?? -Infinity;
+    if (now - lastMs < MIN_PERIOD_MS) return false;
+    this.askedAtMs.set(address, now);
+    return true;
+  }
+
+  private async checkHealth(address: ServerAddress): Promise<void> {
+    const {fleet, control, logger, healthPathOf, onServerLost} = this.options;
+    const server = fleet.at(address);
+    if (!server) {
+      fleet.clearRefusing(address);
+      return;
+    }
+    const path = healthPathOf(server.service);
+    const health = await control.health(address, path, REPORT_TIMEOUT_MS);
+    switch (health) {
+      case 'unhealthy':
+        if (!fleet.noteRefusing(address)) return;
+        logger.warn('server refuses requests', {peer: address});
+        return onServerLost();
+      case 'healthy':
+        if (fleet.clearRefusing(address)) {
+          logger.info('server takes requests again', {peer: address});
+        }
+        return void this.ask(address);
+      case 'silent':
+        return this.suspect(address, 'no answer about its health');
+      default:
+        return;
+    }
   }
 
   private async probe(address: ServerAddress): Promise<void> {
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -10,7 +10,11 @@
   type RetryBudget,
 } from '@azurecrank/core';
 import type {RefusalSender} from 'azurecrank';
-import type {ServerControl, WireCodec} from '../adapter/wire_codec.js';
+import type {
+  OrderOutcome,
+  ServerControl,
+  WireCodec,
+} from '../adapter/wire_codec.js';
 import type {
   ModelAdmission,
   WaitingRequest,
@@ -67,6 +71,9 @@
  */
 const GIVE_UP_SILENCE_MS = 1300;
 
+/** Streams leave a server that will end one after another in this time. */
+const LEAVE_ENDING_SPREAD_MS = 500;
+
 /** Time for an order that moves a request to another path. */
 const REPATH_TIMEOUT_MS = 400;
 
@@ -92,6 +99,8 @@
   private mayHaveRun = false;
   private hasHead = false;
   private isRepathing = false;
+  /** From when on the stream leaves servers that will end. */
+  private leaveEndingAtMs = 0;
   /** Whether a begun stream waits for a chain with room. */
   private isWaiting = false;
   private isOver = false;
@@ -154,6 +163,11 @@
       this.leaveSuspected().catch(error => this.failInternally(error));
       return;
     }
+    if (nowMs >= this.leaveEndingAtMs && this.hasEndingPart()) {
+      // Once for each path, and not all streams in the same moment.
+      this.leaveEndingAtMs = Infinity;
+      this.leaveEnding().catch(error => this.failInternally(error));
+    }
     const {doctor} = this.options;
     const first = this.path[0].server.address;
     // Where all streams are silent the path is overloaded, and moving them
@@ -179,6 +193,7 @@
     this.path = path;
     this.sentAtMs = now;
     this.movedAtMs = now;
+    this.leaveEndingAtMs = now + LEAVE_ENDING_SPREAD_MS * Math.random();
     if (!this.hasHead) this.lastEventAtMs = now;
     this.attempts++;
     const {lastEventId} = this.splitter;
@@ -288,7 +303,7 @@
     if (notRun) {
       const faulty = faultyAddress ?? first;
       // It may be dead, leaving, reloading or short of memory.
-      doctor.examine(faulty);
+      doctor.examineRefusal(faulty);
       this.options.loads.noteFull(first, this.options.nowMs());
       this.lastCause = `status ${status} at ${faulty}`;
       return this.decide(first, true);
@@ -393,19 +408,38 @@
 
   /** Replaces the suspected parts of the path, or leaves the path. */
   private async leaveSuspected(): Promise<void> {
-    const {fleet, control, nowMs} = this.options;
+    const {fleet} = this.options;
     const [first] = this.path;
     if (fleet.isSuspected(first.server.address)) {
       return this.abandonServer('the first server does not answer');
     }
     const path = this.pathAround(first);
     if (!path) return this.abandonServer('no near server holds the lost layers');
+    const outcome = await this.moveTo(path);
+    if (!outcome || outcome.kind === 'accepted') return;
+    this.abandonServer(`the path could not be changed: ${outcome.kind}`);
+  }
+
+  /** Leaves servers that still serve it but will end soon. */
+  private async leaveEnding(): Promise<void> {
+    const path = this.pathAround(this.path[0]);
+    if (path) await this.moveTo(path);
+  }
+
+  private hasEndingPart(): boolean {
+    const {fleet} = this.options;
+    return this.path.some(({server}) => fleet.isEnding(server));
+  }
+
+  /** Returns undefined if the stream has ended or lost its server meanwhile. */
+  private async moveTo(path: ServerPath): Promise<OrderOutcome | undefined> {
+    const {control, nowMs} = this.options;
     this.isRepathing = true;
     const {upstream} = this;
-    const request = this.exchange.request;
+    const {request} = this.exchange;
     const outcome = await control.repath(request, path, REPATH_TIMEOUT_MS);
     this.isRepathing = false;
-    if (this.isOver || this.upstream !== upstream) return;
+    if (this.isOver || this.upstream !== upstream) return undefined;
     this.log('stream moved to another path', {
       outcome: outcome.kind,
       suspected: this.suspectedParts().join(','),
@@ -415,9 +449,8 @@
       this.repaths++;
       this.path = path;
       this.movedAtMs = nowMs();
-      return;
     }
-    this.abandonServer(`the path could not be changed: ${outcome.kind}`);
+    return outcome;
   }
 
   /**
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from './core/fleet/fleet_view.js';
 export * from './core/fleet/prefix_follower.js';
 export * from './core/fleet/server_capacity.js';
+export * from './core/fleet/server_marks.js';
 export * from './core/gateway/accept_request.js';
 export * from './core/gateway/pick_service.js';
 export * from './core/paths/find_chains.js';
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -22,6 +22,7 @@
   type BackendServer,
   type CallerFacts,
   type Exchange,
+  type Health,
   type OrderOutcome,
   type RawHeaders,
   type ResponseFacts,
@@ -142,6 +143,10 @@
     };
   }
 
+  override async health(): Promise<Health> {
+    return 'healthy';
+  }
+
   override async place(): Promise<OrderOutcome> {
     return {kind: 'accepted'};
   }
@@ -223,7 +228,8 @@
       logger,
       nowMs,
       wasPaused: () => false,
-      onSuspect: () => {},
+      healthPathOf: () => '/health',
+      onServerLost: () => {},
     });
     const req = {rawHeaders: [], method: 'POST', url: '/draft/1', complete: true};
     const exchange = new CallerExchange(
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -9,7 +9,7 @@
       harness.begin();
       harness.events(1, 2);
       const lost = harness.pathAddresses()[3];
-      harness.fleet.suspect(lost, 'test');
+      harness.fleet.suspect(lost);
       harness.relay.tick((harness.nowMs += 50));
       harness.control.answerRepath({kind: 'accepted'});
       await settle();
@@ -21,7 +21,7 @@
     it('survives the loss of its server while the order is under way', async () => {
       const harness = new RelayHarness();
       const lost = harness.pathAddresses()[3];
-      harness.fleet.suspect(lost, 'test');
+      harness.fleet.suspect(lost);
       harness.relay.tick((harness.nowMs += 50));
       harness.fillChains();
       harness.sent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
