--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -10,6 +10,7 @@
   type RequestId,
   type ServiceId,
 } from '@azurecrank/core';
+import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {findChains, type ServerChain} from '../paths/find_chains.js';
 import type {ModelSpec} from '../routing/routing_table.js';
@@ -110,12 +111,12 @@
   /** Another chain for a request that has lost its own. */
   chainElsewhere(
     tokens: number,
-    excluded: ReadonlySet<string>,
+    isAllowed: (first: ServerAddress) => boolean,
   ): ServerChain | undefined {
     const {loads, availabilityZone, nowMs} = this.options;
     const now = nowMs();
-    const chains = this.currentChains().filter(
-      ({path}) => !excluded.has(path[0].server.address),
+    const chains = this.currentChains().filter(({path}) =>
+      isAllowed(path[0].server.address),
     );
     const chosen = chooseAdmission(
       chains,
@@ -129,12 +130,12 @@
   }
 
   /** Whether another chain has room for a request of so many tokens. */
-  hasRoomElsewhere(tokens: number, excluded: ReadonlySet<string>): boolean {
+  hasRoomElsewhere(tokens: number, first: ServerAddress): boolean {
     const {loads, nowMs} = this.options;
     const now = nowMs();
     return this.currentChains().some(
       chain =>
-        !excluded.has(chain.path[0].server.address) &&
+        chain.path[0].server.address !== first &&
         loads.hasRoom(chain, tokens, now),
     );
   }
--- a/packages/forwarding/src/core/fleet/prefix_follower.ts
+++ b/packages/forwarding/src/core/fleet/prefix_follower.ts
@@ -8,6 +8,8 @@
 
 export interface PrefixFollowerOptions {
   readonly prefix: string;
+  /** Changes within this time after a change are fetched together. */
+  readonly gatherMs: number;
   readonly store: PrefixStore;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -22,9 +24,6 @@
  */
 const WATCH_MS = 8000;
 
-/** Changes that come in quick succession are fetched together. */
-const GATHER_MS = 60;
-
 const LEAST_BACK_OFF_MS = 150;
 const MOST_BACK_OFF_MS = 600;
 
@@ -91,7 +90,7 @@
     }
     if (outcome.changes.length > 0) {
       onChanges(outcome.changes);
-      await this.sleep(GATHER_MS);
+      await this.sleep(this.options.gatherMs);
     }
     return outcome.revision;
   }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -52,6 +52,15 @@
 
 const DRAIN_CHECK_MS = 50;
 
+/** A new table must be in force everywhere within 2 s. */
+const TABLE_GATHER_MS = 100;
+
+/** A leaving server must get nothing new after 2 s. */
+const SERVERS_GATHER_MS = 300;
+
+/** Entries come and go rarely, and peers tell each other the rest. */
+const ENTRIES_GATHER_MS = 1000;
+
 /** Listener backlog; callers come in bursts after an outage. */
 const BACKLOG = 1024;
 
@@ -270,12 +279,14 @@
       new PrefixFollower({
         ...common,
         prefix: codec.tablePrefix,
+        gatherMs: TABLE_GATHER_MS,
         onSnapshot: ({entries}) => takeTable(entries),
         onChanges: takeTable,
       }),
       new PrefixFollower({
         ...common,
         prefix: codec.serversPrefix,
+        gatherMs: SERVERS_GATHER_MS,
         onSnapshot: ({entries}, afterOutage) => {
           const servers = entries.flatMap(entry => this.decodeServer(entry));
           this.fleet.replaceAll(servers, nowMs(), afterOutage);
@@ -287,6 +298,7 @@
       new PrefixFollower({
         ...common,
         prefix: OWN_PREFIX,
+        gatherMs: ENTRIES_GATHER_MS,
         onSnapshot: snapshot => {
           this.directory.takeSnapshot(snapshot);
           this.mesh.setPeers(this.directory.entries);
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -6,9 +6,6 @@
   readonly hasBegun: boolean;
   /** Whether a server may have begun to run it. */
   readonly mayHaveRun: boolean;
-  /** Servers that refused or failed and still live. */
-  readonly reachedLive: number;
-  readonly maxAttempts: number;
   readonly attempts: number;
   readonly leftMs: number;
   readonly mayRetry: boolean;
@@ -37,13 +34,10 @@
 const LEAST_LEFT_MS = 100;
 
 export function decideStream(state: StreamState): StreamDecision {
-  const {attempts, leftMs, reachedLive, maxAttempts, mayRetry} = state;
-  // Servers that stated that they did not run it do not count.
-  const mayReachMore = !state.mayHaveRun || reachedLive < maxAttempts;
+  const {attempts, leftMs, mayRetry} = state;
   const isAllowed =
     attempts < MAX_ATTEMPTS &&
     leftMs >= LEAST_LEFT_MS &&
-    mayReachMore &&
     mayRetry;
   const isRepeatable = state.isResumable || !state.mayHaveRun;
   const isInTime = !state.hasBegun || state.silentMs < MAX_SILENCE_MS;
@@ -53,3 +47,17 @@
   if (state.hasBegun) return 'cut';
   return state.mayHaveRun ? 'fail' : 'refuse';
 }
+
+/**
+ * First servers on which the stream may go on: undefined for any. Where it has
+ * run on as many servers as its route allows, not counting those that are
+ * lost, it may only go on at one of them.
+ */
+export function allowedFirsts<T>(
+  ranAt: ReadonlySet<T>,
+  isLost: (server: T) => boolean,
+  maxAttempts: number,
+): ReadonlySet<T> | undefined {
+  const live = new Set([...ranAt].filter(server => !isLost(server)));
+  return live.size < maxAttempts ? undefined : live;
+}
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -37,6 +37,7 @@
 import type {ModelSpec} from '../routing/routing_table.js';
 import {
   MAX_SILENCE_MS,
+  allowedFirsts,
   decideStream,
   type StreamDecision,
 } from './decide_stream.js';
@@ -94,7 +95,6 @@
   private firstEventAtMs: number | undefined;
   private longestPauseMs = 0;
   private attempts = 0;
-  private reachedLive = 0;
   private repaths = 0;
   private mayHaveRun = false;
   private hasHead = false;
@@ -105,7 +105,9 @@
   private isWaiting = false;
   private isOver = false;
   private lastCause = '';
-  private readonly failedFirsts = new Set<string>();
+  private readonly failedFirsts = new Set<ServerAddress>();
+  /** First servers that began to answer. */
+  private readonly ranAt = new Set<ServerAddress>();
 
   constructor(
     private readonly exchange: CallerExchange,
@@ -254,6 +256,7 @@
   /** The caller keeps the head of the first server that answered. */
   private begin(headers: string[]): void {
     this.mayHaveRun = true;
+    this.ranAt.add(this.path[0].server.address);
     if (this.hasHead || this.isOver) return;
     this.hasHead = true;
     writeHead(
@@ -335,14 +338,11 @@
     if (this.isOver) return;
     const {nowMs, budget, metrics} = this.options;
     const now = nowMs();
-    if (isLive) this.reachedLive++;
     this.failedFirsts.add(first);
     const decision = decideStream({
       isResumable: this.accepted.route.isResumable,
       hasBegun: this.hasHead,
       mayHaveRun: this.mayHaveRun,
-      reachedLive: this.reachedLive,
-      maxAttempts: this.accepted.route.maxAttempts,
       attempts: this.attempts,
       leftMs: this.accepted.deadlineAtMs - now,
       mayRetry: budget.available(now) >= 1,
@@ -370,9 +370,16 @@
 
   /** Continues on a chain with room; `tick` tries again if there is none. */
   private resume(): void {
+    const {fleet} = this.options;
+    const allowed = allowedFirsts(
+      this.ranAt,
+      address => fleet.isSuspected(address) || !fleet.at(address),
+      this.accepted.route.maxAttempts,
+    );
     const chain = this.admission.chainElsewhere(
       this.item.costTokens,
-      this.failedFirsts,
+      address =>
+        allowed ? allowed.has(address) : !this.failedFirsts.has(address),
     );
     this.isWaiting = chain === undefined;
     if (!chain) return;
@@ -472,9 +479,11 @@
     if (!path) return undefined;
     const chain = toChain(this.model, path);
     const isCrowded = loads.usedPart(chain, nowMs()) > 1;
-    const excluded = new Set([first.server.address]);
     const {costTokens} = this.item;
-    const canMove = this.admission.hasRoomElsewhere(costTokens, excluded);
+    const canMove = this.admission.hasRoomElsewhere(
+      costTokens,
+      first.server.address,
+    );
     return isCrowded && canMove ? undefined : path;
   }
 
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -61,6 +61,20 @@
       expect(harness.res.body.match(/id: 2/g)?.length).toEqual(1);
     });
 
+    it('runs on no more live servers than its route allows', async () => {
+      const harness = new RelayHarness({maxAttempts: 2});
+      for (const id of [1, 2, 3]) {
+        harness.begin();
+        harness.events(id);
+        const failure = {cause: 'stalled', mayHaveRun: true};
+        harness.sent.handlers.onFailure(failure);
+        await harness.pass(100);
+      }
+      const firsts = harness.upstream.sent.map(({request}) => request.address);
+      expect(firsts.length).toBeGreaterThan(2);
+      expect(new Set(firsts).size).toEqual(2);
+    });
+
     it('closes the channel of a stream that may not be resumed', () => {
       const harness = new RelayHarness({isResumable: false});
       harness.begin();
