Follow orders until they are done and bring chains back with little room

Cause: in an outage of the store nobody learned what servers had loaded; orders without an answer blocked the plan for 4 s; chains whose servers gave up layers in use came back only when running streams had ended (6 s). Change: the holder asks servers with orders and tells peers what they hold; an unanswered order is given again with the same expected sequence; a chain first comes back with what servers can hold beside their present layers.

--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -306,6 +306,11 @@
   readonly suspected: readonly string[];
   /** Addresses of servers that refuse requests because they leave or fail. */
   readonly refusing: readonly string[];
+  /**
+   * Layers that servers were just seen to hold: id, start time (Unix ms),
+   * first layer and end; equal if there are none.
+   */
+  readonly held: ReadonlyArray<readonly [string, number, number, number]>;
   /** Highest fencing number of layout orders that the entry knows of. */
   readonly layoutFence: number;
 }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -13,6 +13,7 @@
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {findChains, type ServerChain} from '../paths/find_chains.js';
+import {describePath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {ChainLoads} from './chain_loads.js';
 import {chooseAdmission} from './choose_admission.js';
@@ -31,6 +32,8 @@
   readonly loads: ChainLoads;
   readonly model: () => ModelSpec | undefined;
   readonly nowMs: () => number;
+  /** Called when other servers serve the model than before. */
+  readonly onChains: (chains: readonly ServerChain[]) => void;
 }
 
 /** Bounds the memory of waiting requests. */
@@ -149,7 +152,14 @@
     if (isSame) return this.chains;
     this.chainsRevision = fleet.revision;
     this.chainsModel = spec;
+    const before = describeChains(this.chains);
     this.chains = spec ? findChains(spec, fleet.usable(service)) : [];
+    const isOther = describeChains(this.chains) !== before;
+    if (isOther) this.options.onChains(this.chains);
     return this.chains;
   }
 }
+
+function describeChains(chains: readonly ServerChain[]): string {
+  return chains.map(({path}) => describePath(path)).join(';');
+}
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -12,6 +12,25 @@
  */
 export const LAPSED_GRACE_MS = 2200;
 
+/**
+ * What a server has reported itself counts for this time, because its
+ * registration follows later.
+ */
+const OBSERVATION_MS = 3000;
+
+/** Layers that a server was seen to hold. */
+export interface HeldLayers {
+  readonly server: ServerId;
+  readonly bornAtMs: number;
+  readonly layers: LayerRange | undefined;
+}
+
+interface Observation extends HeldLayers {
+  readonly atMs: number;
+  /** Whether this entry itself has asked the server. */
+  readonly isOwn: boolean;
+}
+
 export class FleetView {
   private readonly servers = new Map<ServerId, BackendServer>();
   /** Servers that do not answer. */
@@ -22,6 +41,7 @@
   private readonly lapsed = new Map<ServerId, number>();
   /** Servers that peers have reported as leaving, by start time. */
   private readonly leaving = new Map<ServerId, number>();
+  private readonly observations = new Map<ServerId, Observation>();
   private changes = 0;
 
   /** Rises with each change, so that callers can cache what they derive. */
@@ -33,8 +53,14 @@
     return this.servers.size;
   }
 
-  put(server: BackendServer): void {
-    this.servers.set(server.server, server);
+  /** Takes a registration. */
+  put(server: BackendServer, nowMs: number): void {
+    const seen = this.observations.get(server.server);
+    const isNewer =
+      seen?.bornAtMs === server.bornAtMs &&
+      nowMs - seen.atMs < OBSERVATION_MS;
+    const layers = isNewer ? seen.layers : server.layers;
+    this.servers.set(server.server, {...server, layers});
     this.lapsed.delete(server.server);
     this.changes++;
   }
@@ -61,12 +87,15 @@
         this.lapsed.set(server, nowMs + LAPSED_GRACE_MS);
       }
     }
-    for (const server of listed) this.put(server);
+    for (const server of listed) this.put(server, nowMs);
     this.changes++;
   }
 
   /** Forgets lapsed servers and suspicions whose time is over. */
   expire(nowMs: number): void {
+    for (const [server, {atMs}] of this.observations) {
+      if (nowMs - atMs >= OBSERVATION_MS) this.observations.delete(server);
+    }
     for (const [server, goneAtMs] of this.lapsed) {
       if (goneAtMs <= nowMs) this.remove(server);
     }
@@ -120,15 +149,35 @@
     return this.isLeaving(server) || this.refusing.has(server.address);
   }
 
-  /** Takes what a server itself reports to hold. */
-  correctLayers(address: ServerAddress, layers: LayerRange | undefined): void {
-    const server = this.at(address);
-    if (!server) return;
-    const held = server.layers;
+  /** Takes what a server has reported to hold. */
+  observe(held: HeldLayers, nowMs: number): void {
+    this.takeObservation({...held, atMs: nowMs, isOwn: true});
+  }
+
+  /** Takes what a server has reported to a peer; own observations stay. */
+  observeAsTold(held: HeldLayers, nowMs: number): void {
+    if (this.observations.get(held.server)?.isOwn) return;
+    this.takeObservation({...held, atMs: nowMs, isOwn: false});
+  }
+
+  private takeObservation(observation: Observation): void {
+    const {server, bornAtMs, layers} = observation;
+    const known = this.servers.get(server);
+    if (!known || known.bornAtMs !== bornAtMs) return;
+    this.observations.set(server, observation);
     const isSame =
-      held?.firstLayer === layers?.firstLayer &&
-      held?.endLayer === layers?.endLayer;
-    if (!isSame) this.put({...server, layers});
+      known.layers?.firstLayer === layers?.firstLayer &&
+      known.layers?.endLayer === layers?.endLayer;
+    if (isSame) return;
+    this.servers.set(server, {...known, layers});
+    this.changes++;
+  }
+
+  /** Recent own observations, for peers. */
+  recentObservations(nowMs: number): HeldLayers[] {
+    return [...this.observations.values()].filter(
+      ({atMs, isOwn}) => isOwn && nowMs - atMs < OBSERVATION_MS / 2,
+    );
   }
 
   /** A peer has seen that this incarnation of a server leaves. */
@@ -152,6 +201,10 @@
     return this.leaving.get(server.server) === bornAtMs;
   }
 
+  get(server: ServerId): BackendServer | undefined {
+    return this.servers.get(server);
+  }
+
   all(): Iterable<BackendServer> {
     return this.servers.values();
   }
--- a/packages/forwarding/src/core/paths/find_chains.ts
+++ b/packages/forwarding/src/core/paths/find_chains.ts
@@ -21,7 +21,7 @@
  * Memory of a chain that leaves its zone which is used, in tokens: more
  * requests would fill the pipe between the zones.
  */
-const MAX_CROSS_ZONE_TOKENS = 12_000;
+const MAX_CROSS_ZONE_TOKENS = 24_000;
 
 /** Disjoint chains: those inside one zone first, each time the cheapest. */
 export function findChains(
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -17,7 +17,7 @@
   type ServerId,
 } from '@azurecrank/core';
 import type {ChainLoads} from '../admission/chain_loads.js';
-import type {FleetView} from '../fleet/fleet_view.js';
+import type {FleetView, HeldLayers} from '../fleet/fleet_view.js';
 
 export interface EntryMeshOptions {
   readonly node: string;
@@ -98,7 +98,7 @@
   }
 
   private shares(): EntryShares {
-    const {loads, fleet, waiting} = this.options;
+    const {loads, fleet, nowMs, waiting} = this.options;
     return {
       type: 'shares',
       configVersion: this.versions().configVersion,
@@ -107,6 +107,7 @@
       leaving: fleet.leavingServers(),
       suspected: fleet.ownSuspicions(),
       refusing: fleet.ownRefusing(),
+      held: fleet.recentObservations(nowMs()).map(toHeldTuple),
       layoutFence: this.options.layoutFence(),
     };
   }
@@ -138,6 +139,12 @@
     for (const [server, bornAtMs] of message.leaving) {
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
+    for (const [server, bornAtMs, firstLayer, endLayer] of message.held) {
+      const layers =
+        firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
+      // Not passed on again, since only own observations are told.
+      fleet.observeAsTold({server: server as ServerId, bornAtMs, layers}, now);
+    }
     for (const address of message.refusing) {
       if (!fleet.noteRefusingAsTold(address, now)) continue;
       logger.info('server refuses requests', {
@@ -183,3 +190,12 @@
     }
   }
 }
+
+function toHeldTuple({
+  server,
+  bornAtMs,
+  layers,
+}: HeldLayers): [string, number, number, number] {
+  const {firstLayer, endLayer} = layers ?? {firstLayer: 0, endLayer: 0};
+  return [server, bornAtMs, firstLayer, endLayer];
+}
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -17,10 +17,15 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly nowMs: () => number;
+  /** A server was seen to hold what it was ordered to. */
+  readonly onLoaded: () => void;
 }
 
 const PERIOD_MS = 500;
 
+/** Period while orders are carried out. */
+const BUSY_PERIOD_MS = 250;
+
 /** Renewals; three of them fit into the lease. */
 const RENEWAL_PERIOD_MS = 1000;
 
@@ -33,16 +38,22 @@
  */
 const SETTLE_MS = 1200;
 
-/** An order is taken to be under way for this time, in milliseconds. */
+/** Plans count an order as carried out for this time. */
 const ORDER_PENDING_MS = 4000;
 
+/**
+ * Servers are asked for this time whether an order is done. It may wait for
+ * requests on layers that are given up.
+ */
+const ORDER_FOLLOWED_MS = 12_000;
+
 /** Time for a report before an order. */
 const REPORT_TIMEOUT_MS = 600;
 
 interface Pending {
   readonly bornAtMs: number;
   readonly order: LayoutOrder;
-  readonly untilMs: number;
+  readonly atMs: number;
 }
 
 export class LayoutRunner implements Disposable {
@@ -85,7 +96,10 @@
     this.isRunning = true;
     try {
       await this.refreshLease();
-      if (this.isHolder) await this.giveOrders();
+      if (this.isHolder) {
+        await this.watchOrders();
+        await this.giveOrders();
+      }
     } catch (error) {
       metrics.increment('azurecrank_placement_failures_total');
       logger.warn('layout could not be checked', {
@@ -95,18 +109,23 @@
     }
     this.isRunning = false;
     const waitMs = CAMPAIGN_MS * (0.5 + Math.random());
-    this.schedule(this.isHolder ? PERIOD_MS : waitMs);
+    const periodMs = this.pending.size > 0 ? BUSY_PERIOD_MS : PERIOD_MS;
+    this.schedule(this.isHolder ? periodMs : waitMs);
   }
 
   private async refreshLease(): Promise<void> {
-    const {lease, isHeldElsewhere, nowMs} = this.options;
+    const {lease, isHeldElsewhere, logger, nowMs} = this.options;
     if (!this.isHolder && isHeldElsewhere()) return;
     const now = nowMs();
     if (this.isHolder && now - this.renewedAtMs < RENEWAL_PERIOD_MS) return;
     this.renewedAtMs = now;
     // While the store is away nobody else can take the lease, and servers
     // refuse the fencing number of a holder that has been replaced.
-    this.isHolder = await lease.refresh();
+    try {
+      this.isHolder = await lease.refresh();
+    } catch (error) {
+      logger.warn('lease was not renewed', {cause: String(error)});
+    }
     if (lease.fence !== undefined) this.noteFence(lease.fence);
   }
 
@@ -151,18 +170,47 @@
     return servers > 0 && now - this.changedAtMs >= SETTLE_MS;
   }
 
+  /**
+   * Asks the servers with orders what they hold. Their registrations follow a
+   * second or two later, and not at all while the store is away.
+   */
+  private async watchOrders(): Promise<void> {
+    const {fleet, control, nowMs, logger, onLoaded} = this.options;
+    const servers = [...this.pending.keys()];
+    let hasLoaded = false;
+    const ask = async (id: ServerId): Promise<void> => {
+      const server = fleet.get(id);
+      const range = this.pending.get(id)?.order.range;
+      if (!server || !range || isSameRange(server.layers, range)) return;
+      try {
+        const report = await control.report(
+          server.address,
+          REPORT_TIMEOUT_MS,
+        );
+        fleet.observe({server: id, ...report}, nowMs());
+        hasLoaded ||= isSameRange(report.layers, range);
+      } catch (error) {
+        const fields = {peer: server.address, cause: String(error)};
+        logger.info('order cannot be followed', fields);
+      }
+    };
+    await Promise.all(servers.map(ask));
+    if (hasLoaded) onLoaded();
+  }
+
   /** The server as it will be once its order is carried out. */
   private withPending(server: BackendServer): BackendServer {
     const pending = this.pending.get(server.server);
     if (!pending) return server;
     const {range} = pending.order;
+    const ageMs = this.options.nowMs() - pending.atMs;
     const isOver =
       pending.bornAtMs !== server.bornAtMs ||
       isSameRange(server.layers, range) ||
-      this.options.nowMs() >= pending.untilMs;
-    if (!isOver) return {...server, layers: range};
-    this.pending.delete(server.server);
-    return server;
+      ageMs >= ORDER_FOLLOWED_MS;
+    if (isOver) this.pending.delete(server.server);
+    const counts = !isOver && ageMs < ORDER_PENDING_MS;
+    return counts ? {...server, layers: range} : server;
   }
 
   private async give(order: LayoutOrder): Promise<void> {
@@ -174,11 +222,11 @@
     this.pending.set(server.server, {
       bornAtMs: server.bornAtMs,
       order,
-      untilMs: nowMs() + ORDER_PENDING_MS,
+      atMs: nowMs(),
     });
     try {
       const report = await control.report(server.address, REPORT_TIMEOUT_MS);
-      fleet.correctLayers(server.address, report.layers);
+      fleet.observe({server: server.server, ...report}, nowMs());
       if (isSameRange(report.layers, range) || report.isBusy) return;
       const outcome = await control.place({
         server,
@@ -191,7 +239,9 @@
       });
       logger.info('layers ordered', {...fields, fence, outcome: outcome.kind});
       if (outcome.kind === 'fenced') lease.stepDown();
-      if (outcome.kind === 'conflict') this.pending.delete(server.server);
+      // An order without an answer may be carried out later. The same one is
+      // given again: the expected sequence lets only one of them begin.
+      if (outcome.kind !== 'accepted') this.pending.delete(server.server);
     } catch (error) {
       logger.warn('order was not given', {...fields, cause: String(error)});
       this.pending.delete(server.server);
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -23,7 +23,8 @@
  * some 90 requests where the zone allows it, fewer in a small zone.
  */
 const CHAIN_TOKENS = [
-  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 16_000, 8_000, 4_000,
+  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 18_000, 12_000, 8_000,
+  4_000,
 ];
 
 /** Least memory for requests of a chain that leaves its zone. */
@@ -38,6 +39,9 @@
 /** More room has to be worth the weights that are loaded for it. */
 const LEAST_GAIN = 1.2;
 
+/** With less room than this servers rather give up what they hold. */
+const LEAST_RESTORED_TOKENS = 12_000;
+
 /** Returns the orders that lead from what is held to the wanted layout. */
 export function planLayout(
   model: ModelSpec,
@@ -52,8 +56,12 @@
     orders.push(...planZone(model, inZone));
   }
   const planned = applyOrders(known, orders);
-  if (findChains(model, planned).length > 0) return orders;
-  return planCrossZone(model, known);
+  const broken = zonesOf(known).filter(zone => {
+    const inZone = planned.filter(s => s.availabilityZone === zone);
+    return findChains(model, inZone).length === 0;
+  });
+  const pool = known.filter(s => broken.includes(s.availabilityZone));
+  return [...orders, ...planCrossZone(model, pool)];
 }
 
 function planZone(
@@ -89,7 +97,8 @@
 
 /**
  * Makes a chain again of servers of which some were lost. Servers keep what
- * they hold, which loads least, unless that leaves too little room.
+ * they hold even if that leaves little room: giving it up can wait for seconds
+ * until the requests on it have ended. The room grows afterwards.
  */
 function restoreChain(
   model: ModelSpec,
@@ -101,7 +110,7 @@
     ),
   );
   const division =
-    bestDivision(model, servers, LITTLE_ROOM_TOKENS / 2, held) ??
+    bestDivision(model, servers, LEAST_RESTORED_TOKENS, held) ??
     bestDivision(model, servers, 0, new Map());
   return division ? [...division.orders] : planNewChains(model, servers);
 }
@@ -176,7 +185,7 @@
   return undefined;
 }
 
-/** One chain over all zones, zone by zone. */
+/** One chain over zones that cannot have one each, zone by zone. */
 function planCrossZone(
   model: ModelSpec,
   servers: readonly BackendServer[],
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -30,6 +30,7 @@
   OWN_PREFIX,
 } from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
+import {describePath} from '../paths/server_path.js';
 import {LayoutRunner} from '../placement/layout_runner.js';
 import {CallServers} from '../relay/call_servers.js';
 import {PROBE_PERIOD_MS, PathDoctor} from '../relay/path_doctor.js';
@@ -320,7 +321,9 @@
         this.logger.info('server gone', {server});
         continue;
       }
-      for (const server of this.decodeServer({key, value})) this.fleet.put(server);
+      for (const server of this.decodeServer({key, value})) {
+        this.fleet.put(server, performance.now());
+      }
     }
     this.noteFleet();
   }
@@ -344,11 +347,6 @@
     this.logger.info('servers changed', {
       servers: servers.length,
       leaving: servers.filter(server => this.fleet.isLeaving(server)).length,
-      chains: [...this.admissions.values()]
-        .flatMap(admission => admission.currentChains())
-        .map(({path, capacityTokens}) =>
-          `${path.length} servers, ${Math.round(capacityTokens)} tokens`,
-        ),
     });
   }
 
@@ -372,6 +370,7 @@
       logger,
       metrics,
       nowMs: () => performance.now(),
+      onLoaded: () => this.mesh.share(),
     });
     this.layout = this.store.add(runner);
     runner.start();
@@ -399,6 +398,15 @@
         loads: this.loads,
         model: () => this.table.table?.services.get(service)?.model,
         nowMs: () => performance.now(),
+        onChains: chains => {
+          this.logger.info('chains in use', {
+            service,
+            chains: chains.map(
+              ({path, capacityTokens}) =>
+                `${Math.round(capacityTokens)} tokens: ${describePath(path)}`,
+            ),
+          });
+        },
       });
       this.admissions.set(service, admission);
     }
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -4,7 +4,7 @@
  * one at fault. Asks each server once for all streams that wait for it.
  */
 import type {Logger, ServiceId} from '@azurecrank/core';
-import type {ServerControl} from '../adapter/wire_codec.js';
+import type {ServerControl, ServerReport} from '../adapter/wire_codec.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 
@@ -80,6 +80,12 @@
     ]);
   }
 
+  private observe(address: ServerAddress, report: ServerReport): void {
+    const {fleet, nowMs} = this.options;
+    const server = fleet.at(address)?.server;
+    if (server) fleet.observe({server, ...report}, nowMs());
+  }
+
   private mayAsk(address: ServerAddress): boolean {
     const {nowMs, fleet} = this.options;
     const now = nowMs();
@@ -124,7 +130,7 @@
     }
     try {
       const report = await control.report(address, REPORT_TIMEOUT_MS);
-      fleet.correctLayers(address, report.layers);
+      this.observe(address, report);
       if (!fleet.clearSuspicion(address)) return;
       logger.info('server answers again', {peer: address});
     } catch (error) {
@@ -136,10 +142,10 @@
   }
 
   private async ask(address: ServerAddress): Promise<void> {
-    const {control, fleet, logger} = this.options;
+    const {control, logger} = this.options;
     try {
       const report = await control.report(address, REPORT_TIMEOUT_MS);
-      fleet.correctLayers(address, report.layers);
+      this.observe(address, report);
       const silent = new Set(report.stalled.map(stalled => stalled.address));
       for (const other of silent) {
         this.suspect(other, `requests at ${address} wait for it`);
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -210,7 +210,7 @@
   readonly relay: StreamRelay;
 
   constructor(route: Partial<Route> = {}) {
-    for (const server of laidOutFleet()) this.fleet.put(server);
+    for (const server of laidOutFleet()) this.fleet.put(server, this.nowMs);
     const logger = new Logger('test', 'silent');
     const metrics = new Metrics();
     const nowMs = () => this.nowMs;
@@ -221,6 +221,7 @@
       loads: this.loads,
       model: () => MODEL,
       nowMs,
+      onChains: () => {},
     });
     const doctor = new PathDoctor({
       control: this.control,
