Examine a path when all its streams fall silent together

Cause: reports of heads show a stall 0.2 s late and streams were examined one by one after 0.3 s, so a lost server was known after 0.35 to 0.6 s. Ruled out: a shorter silence of single streams (events of one stream pause up to 115 ms under load).

--- a/packages/forwarding/src/core/adapter/wire_codec.ts
+++ b/packages/forwarding/src/core/adapter/wire_codec.ts
@@ -77,8 +77,7 @@
 }
 
 export type Decoded<T> =
-  | {readonly kind: 'decoded'; readonly value: T}
-  | DecodeError;
+  {readonly kind: 'decoded'; readonly value: T} | DecodeError;
 
 /** One change below a prefix of the store. */
 export interface StoreChange {
@@ -88,7 +87,10 @@
 }
 
 export interface StoreSnapshot {
-  readonly entries: ReadonlyArray<{readonly key: string; readonly value: string}>;
+  readonly entries: ReadonlyArray<{
+    readonly key: string;
+    readonly value: string;
+  }>;
   /** Revision from which a watch continues. */
   readonly revision: number;
 }
@@ -215,4 +217,3 @@
   /** Path of the balancer's question whether the entry is ready. */
   readonly readyPath: string;
 }
-
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -89,7 +89,9 @@
     const {loads, availabilityZone, nowMs} = this.options;
     const now = nowMs();
     for (const item of this.queue.expire(now)) {
-      item.refuse(this.currentChains().length ? 'deadline_unreachable' : 'no_chain');
+      item.refuse(
+        this.currentChains().length ? 'deadline_unreachable' : 'no_chain',
+      );
     }
     const chains = this.currentChains();
     if (chains.length === 0) return;
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -3,7 +3,11 @@
  * minus those that are suspected. Pure; times are arguments.
  */
 import type {ServerId, ServiceId} from '@azurecrank/core';
-import type {BackendServer, LayerRange, ServerAddress} from './backend_server.js';
+import type {
+  BackendServer,
+  LayerRange,
+  ServerAddress,
+} from './backend_server.js';
 import {ServerMarks} from './server_marks.js';
 
 /**
@@ -57,8 +61,7 @@
   put(server: BackendServer, nowMs: number): void {
     const seen = this.observations.get(server.server);
     const isNewer =
-      seen?.bornAtMs === server.bornAtMs &&
-      nowMs - seen.atMs < OBSERVATION_MS;
+      seen?.bornAtMs === server.bornAtMs && nowMs - seen.atMs < OBSERVATION_MS;
     const layers = isNewer ? seen.layers : server.layers;
     this.servers.set(server.server, {...server, layers});
     this.lapsed.delete(server.server);
--- a/packages/forwarding/src/core/gateway/accept_request.ts
+++ b/packages/forwarding/src/core/gateway/accept_request.ts
@@ -7,11 +7,7 @@
 } from '@azurecrank/core';
 import type {CallerFacts} from '../adapter/wire_codec.js';
 import type {RouteIndex} from '../routing/route_index.js';
-import type {
-  Route,
-  RoutingTable,
-  Workspace,
-} from '../routing/routing_table.js';
+import type {Route, RoutingTable, Workspace} from '../routing/routing_table.js';
 
 export interface RoutingView {
   readonly table: RoutingTable;
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -14,6 +14,7 @@
   WaitingRequest,
 } from '../admission/model_admission.js';
 import {CallRelay, type CallRelayOptions} from '../relay/call_relay.js';
+import {silentPaths, type StreamProgress} from '../relay/collective_silence.js';
 import {StreamRelay, type StreamRelayOptions} from '../relay/stream_relay.js';
 import type {ModelSpec, Route} from '../routing/routing_table.js';
 import {acceptRequest, type RoutingView} from './accept_request.js';
@@ -44,13 +45,17 @@
  */
 const WAIT_SHARE = 0.85;
 
-/** Period at which streams are looked at. */
-const TICK_MS = 50;
+/** Period at which streams are looked at; bounds how soon a loss is seen. */
+const TICK_MS = 20;
+
+/** After a tick this late the process itself was silent. */
+const LATE_TICK_MS = 60;
 
 export class ForwardingGateway implements Disposable {
   private readonly streams = new Set<StreamRelay>();
   private readonly timer: NodeJS.Timeout;
   private requestsInFlight = 0;
+  private lastTickMs = 0;
 
   constructor(private readonly options: GatewayOptions) {
     this.timer = setInterval(() => this.tick(), TICK_MS);
@@ -154,8 +159,20 @@
     admission.enqueue(item);
   }
 
+  private examineSilentPaths(nowMs: number): void {
+    const progress: StreamProgress[] = [];
+    for (const stream of this.streams) {
+      if (stream.progress) progress.push(stream.progress);
+    }
+    const {doctor} = this.options.streams;
+    for (const path of silentPaths(progress, nowMs)) doctor.probePath(path);
+  }
+
   private tick(): void {
     const nowMs = this.options.nowMs();
+    const wasLate = nowMs - this.lastTickMs > LATE_TICK_MS;
+    this.lastTickMs = nowMs;
+    if (!wasLate) this.examineSilentPaths(nowMs);
     for (const stream of [...this.streams]) {
       try {
         stream.tick(nowMs);
@@ -180,10 +197,7 @@
 }
 
 /** Prompt and half of the answer: what a request holds on average. */
-function expectedTokens(
-  {facts}: CallerExchange,
-  model: ModelSpec,
-): number {
+function expectedTokens({facts}: CallerExchange, model: ModelSpec): number {
   const answer = Math.min(
     facts.expectedAnswerTokens ?? model.usualAnswerTokens,
     facts.maxAnswerTokens || Infinity,
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -140,8 +140,7 @@
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
     for (const [server, bornAtMs, firstLayer, endLayer] of message.held) {
-      const layers =
-        firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
+      const layers = firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
       // Not passed on again, since only own observations are told.
       fleet.observeAsTold({server: server as ServerId, bornAtMs, layers}, now);
     }
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -183,10 +183,7 @@
       const range = this.pending.get(id)?.order.range;
       if (!server || !range || isSameRange(server.layers, range)) return;
       try {
-        const report = await control.report(
-          server.address,
-          REPORT_TIMEOUT_MS,
-        );
+        const report = await control.report(server.address, REPORT_TIMEOUT_MS);
         fleet.observe({server: id, ...report}, nowMs());
         hasLoaded ||= isSameRange(report.layers, range);
       } catch (error) {
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -23,8 +23,7 @@
  * some 90 requests where the zone allows it, fewer in a small zone.
  */
 const CHAIN_TOKENS = [
-  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 18_000, 12_000, 8_000,
-  4_000,
+  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 18_000, 12_000, 8_000, 4_000,
 ];
 
 /** Least memory for requests of a chain that leaves its zone. */
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -227,9 +227,7 @@
   }
 
   private isReady(): boolean {
-    return (
-      !this.isStopping && this.table.view !== undefined && this.hasServers
-    );
+    return !this.isStopping && this.table.view !== undefined && this.hasServers;
   }
 
   private async listenForCallers(): Promise<void> {
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -144,7 +144,8 @@
       },
       onData: chunk => {
         sizeBytes += chunk.length;
-        if (sizeBytes > MAX_ANSWER_BYTES) this.breakOff('the answer is too long');
+        if (sizeBytes > MAX_ANSWER_BYTES)
+          this.breakOff('the answer is too long');
         else chunks.push(chunk);
       },
       onEnd: () => {
@@ -173,7 +174,10 @@
   }
 
   /** Ends an attempt without an answer. */
-  private settle(kind: 'broken' | 'not_sent' | 'not_run' | 'slow', cause: string) {
+  private settle(
+    kind: 'broken' | 'not_sent' | 'not_run' | 'slow',
+    cause: string,
+  ) {
     if (this.isOver) return;
     this.clearTimer();
     this.lastCause = cause;
@@ -276,7 +280,8 @@
   private fail(outcome: AttemptOutcome): void {
     if (this.isOver) return;
     this.isOver = true;
-    const isLate = this.accepted.deadlineAtMs <= this.options.nowMs() + DEADLINE_MARGIN_MS;
+    const isLate =
+      this.accepted.deadlineAtMs <= this.options.nowMs() + DEADLINE_MARGIN_MS;
     const reason = isLate ? 'deadline_exceeded' : 'outcome_unknown';
     const refusal = refuse(reason, 'call', {
       ran: 'unknown',
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -36,9 +36,7 @@
 export function decideStream(state: StreamState): StreamDecision {
   const {attempts, leftMs, mayRetry} = state;
   const isAllowed =
-    attempts < MAX_ATTEMPTS &&
-    leftMs >= LEAST_LEFT_MS &&
-    mayRetry;
+    attempts < MAX_ATTEMPTS && leftMs >= LEAST_LEFT_MS && mayRetry;
   const isRepeatable = state.isResumable || !state.mayHaveRun;
   const isInTime = !state.hasBegun || state.silentMs < MAX_SILENCE_MS;
   if (isAllowed && isRepeatable && isInTime) {
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -7,6 +7,7 @@
 import type {ServerControl, ServerReport} from '../adapter/wire_codec.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {ServerPath} from '../paths/server_path.js';
 
 export interface PathDoctorOptions {
   readonly control: ServerControl;
@@ -26,6 +27,12 @@
 /** Time for a report; servers answer within a few milliseconds. */
 const REPORT_TIMEOUT_MS = 350;
 
+/** Time for answers of all servers on a silent path. */
+const PATH_PROBE_TIMEOUT_MS = 150;
+
+/** Least time between probes of the same path. */
+const PATH_PROBE_PERIOD_MS = 400;
+
 /** Period of probes to suspected servers. */
 export const PROBE_PERIOD_MS = 1000;
 
@@ -34,6 +41,7 @@
 
 export class PathDoctor {
   private readonly askedAtMs = new Map<ServerAddress, number>();
+  private readonly pathProbedAtMs = new Map<ServerAddress, number>();
   private readonly activeAtMs = new Map<ServerAddress, number>();
 
   constructor(private readonly options: PathDoctorOptions) {}
@@ -80,6 +88,24 @@
     ]);
   }
 
+  /**
+   * Streams on this path fell silent together: asks all of its servers at
+   * once. A server that refuses connections is lost for certain; one that
+   * does not answer at all is given a little time.
+   */
+  probePath(path: ServerPath): void {
+    const {nowMs, fleet} = this.options;
+    const first = path[0].server.address;
+    const now = nowMs();
+    const lastMs = this.pathProbedAtMs.get(first) ?? -Infinity;
+    if (now - lastMs < PATH_PROBE_PERIOD_MS) return;
+    this.pathProbedAtMs.set(first, now);
+    for (const {server} of path) {
+      if (!fleet.isSuspected(server.address))
+        void this.ask(server.address, PATH_PROBE_TIMEOUT_MS);
+    }
+  }
+
   private observe(address: ServerAddress, report: ServerReport): void {
     const {fleet, nowMs} = this.options;
     const server = fleet.at(address)?.server;
@@ -141,10 +167,13 @@
     }
   }
 
-  private async ask(address: ServerAddress): Promise<void> {
+  private async ask(
+    address: ServerAddress,
+    timeoutMs = REPORT_TIMEOUT_MS,
+  ): Promise<void> {
     const {control, logger} = this.options;
     try {
-      const report = await control.report(address, REPORT_TIMEOUT_MS);
+      const report = await control.report(address, timeoutMs);
       this.observe(address, report);
       const silent = new Set(report.stalled.map(stalled => stalled.address));
       for (const other of silent) {
@@ -152,7 +181,7 @@
       }
       if (silent.size > 0) return;
       const {isBusy, pace} = report;
-      logger.info('silent server answers', {peer: address, isBusy, pace});
+      logger.debug('silent server answers', {peer: address, isBusy, pace});
     } catch (error) {
       this.suspect(address, String(error));
     }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -43,6 +43,7 @@
 } from './decide_stream.js';
 import {EventSplitter} from './event_splitter.js';
 import type {PathDoctor} from './path_doctor.js';
+import type {StreamProgress} from './collective_silence.js';
 import type {Exchange, Upstream} from './upstream.js';
 
 export interface StreamRelayOptions {
@@ -137,6 +138,15 @@
     this.options.refusals.refuse(this.exchange, refusal);
   }
 
+  /** Its path and last event, while a server sends events. */
+  get progress(): StreamProgress | undefined {
+    const isSending =
+      !this.isOver && !this.isRepathing && this.firstEventAtMs !== undefined;
+    if (!isSending || this.path.length === 0) return undefined;
+    const sinceMs = Math.max(this.lastEventAtMs, this.movedAtMs);
+    return {path: this.path, sinceMs};
+  }
+
   /** Ends the stream after an error of this program. */
   failInternally(error: unknown): void {
     if (this.isOver) return;
@@ -259,11 +269,7 @@
     this.ranAt.add(this.path[0].server.address);
     if (this.hasHead || this.isOver) return;
     this.hasHead = true;
-    writeHead(
-      this.exchange.res,
-      HTTP_OK,
-      this.options.wire.toCaller(headers),
-    );
+    writeHead(this.exchange.res, HTTP_OK, this.options.wire.toCaller(headers));
   }
 
   private pass(chunk: Buffer): void {
@@ -395,7 +401,10 @@
     const detail = this.lastCause;
     this.end();
     if (this.hasHead) {
-      this.log('stream cut', {cause: detail, lastEventId: this.splitter.lastEventId});
+      this.log('stream cut', {
+        cause: detail,
+        lastEventId: this.splitter.lastEventId,
+      });
       this.exchange.res.destroy();
       return;
     }
@@ -421,7 +430,8 @@
       return this.abandonServer('the first server does not answer');
     }
     const path = this.pathAround(first);
-    if (!path) return this.abandonServer('no near server holds the lost layers');
+    if (!path)
+      return this.abandonServer('no near server holds the lost layers');
     const outcome = await this.moveTo(path);
     if (!outcome || outcome.kind === 'accepted') return;
     this.abandonServer(`the path could not be changed: ${outcome.kind}`);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -30,3 +30,4 @@
 export * from './core/relay/stream_relay.js';
 export * from './core/relay/call_relay.js';
 export * from './core/gateway/caller_exchange.js';
+export * from './core/relay/collective_silence.js';
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -202,9 +202,7 @@
   readonly fleet = new FleetView();
   readonly loads = new ChainLoads();
   readonly upstream = new FakeUpstream();
-  readonly control = new FakeControl(
-    address => this.fleet.at(address)?.layers,
-  );
+  readonly control = new FakeControl(address => this.fleet.at(address)?.layers);
   readonly res = new FakeResponse();
   readonly admission: ModelAdmission;
   readonly relay: StreamRelay;
@@ -232,7 +230,12 @@
       healthPathOf: () => '/health',
       onServerLost: () => {},
     });
-    const req = {rawHeaders: [], method: 'POST', url: '/draft/1', complete: true};
+    const req = {
+      rawHeaders: [],
+      method: 'POST',
+      url: '/draft/1',
+      complete: true,
+    };
     const exchange = new CallerExchange(
       req as unknown as IncomingMessage,
       this.res as unknown as ServerResponse,
