--- a/packages/azurecrank/src/core/placement/lease_holder.ts
+++ b/packages/azurecrank/src/core/placement/lease_holder.ts
@@ -42,6 +42,20 @@
     this.runner.send({type: 'paused'});
   }
 
+  /** Takes a lease that its holder has handed over. */
+  adopt(lease: Lease): void {
+    this.lease = lease;
+    this.runner.send({type: 'acquired'});
+    this.logger.info('took over the placement lease', {fence: lease.fence});
+  }
+
+  /** Stops to use the lease and returns it, for another process to adopt. */
+  handOver(): Lease | undefined {
+    const lease = this.fence === undefined ? undefined : this.lease;
+    this.stepDown();
+    return lease;
+  }
+
   /** Gives the lease up after proof that it has passed to another process. */
   stepDown(): void {
     this.lease = undefined;
--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -311,11 +311,25 @@
    * first layer and end; equal if there are none.
    */
   readonly held: ReadonlyArray<readonly [string, number, number, number]>;
+  /** Whether the entry stops and takes no new tasks. */
+  readonly isStopping: boolean;
   /** Highest fencing number of layout orders that the entry knows of. */
   readonly layoutFence: number;
 }
 
+/**
+ * The lease of the entry that orders layouts passes to the receiver, because
+ * the sender stops. While the store is away nobody could acquire one.
+ */
+export interface LayoutHandover {
+  readonly type: 'layout_handover';
+  readonly lease: string;
+  readonly fence: number;
+  readonly ttlMs: number;
+}
+
 export type Message =
+  | LayoutHandover
   | EntryShares
   | Hello
   | Ping
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -9,6 +9,7 @@
   type ConfigVersion,
   type EntryShares,
   type InstanceId,
+  type Lease,
   type Logger,
   type Message,
   type PeerAddress,
@@ -33,6 +34,8 @@
   readonly offerTable: (text: string) => void;
   /** A peer has found a server unusable that was usable here. */
   readonly onServerLost: () => void;
+  readonly isStopping: () => boolean;
+  readonly onLayoutHandover: (lease: Lease) => void;
   readonly layoutFence: () => number;
   readonly onLayoutFence: (fence: number) => void;
 }
@@ -40,6 +43,9 @@
 /** Period of shares; short against the time that requests hold memory. */
 const SHARES_PERIOD_MS = 200;
 
+/** A peer that told its shares within this time is there. */
+const PEER_FRESH_MS = 600;
+
 /** A table is asked for again after this time, from whoever has it. */
 const FETCH_TIMEOUT_MS = 500;
 
@@ -50,6 +56,10 @@
   private readonly peers: PeerNode;
   private readonly timer: NodeJS.Timeout;
   private readonly known = new Set<PeerAddress>();
+  private readonly peersSeen = new Map<
+    string,
+    {readonly atMs: number; readonly isStopping: boolean}
+  >();
   private fetch = {version: 0, atMs: -Infinity};
 
   constructor(private readonly options: EntryMeshOptions) {
@@ -85,6 +95,20 @@
     for (const address of this.known) this.peers.link(address).send(message);
   }
 
+  /** Passes the lease for layouts to a peer that goes on. */
+  handOver({lease, fence, ttlMs}: Lease): string | undefined {
+    const now = this.options.nowMs();
+    for (const link of this.peers.links()) {
+      const seen = this.peersSeen.get(link.name);
+      const isFit = seen && !seen.isStopping && now - seen.atMs < PEER_FRESH_MS;
+      if (!isFit || !link.connection) continue;
+      if (link.send({type: 'layout_handover', lease, fence, ttlMs})) {
+        return link.name;
+      }
+    }
+    return undefined;
+  }
+
   [Symbol.dispose](): void {
     clearInterval(this.timer);
     this.peers[Symbol.dispose]();
@@ -108,6 +132,7 @@
       suspected: fleet.ownSuspicions(),
       refusing: fleet.ownRefusing(),
       held: fleet.recentObservations(nowMs()).map(toHeldTuple),
+      isStopping: this.options.isStopping(),
       layoutFence: this.options.layoutFence(),
     };
   }
@@ -123,6 +148,8 @@
       case 'shares':
         this.takeShares(message, link);
         return this.compare(message.configVersion, link);
+      case 'layout_handover':
+        return this.options.onLayoutHandover(message);
       case 'fetch':
         return this.answer(link);
       case 'document':
@@ -136,6 +163,7 @@
     const {loads, fleet, nowMs, onServerLost, logger} = this.options;
     const now = nowMs();
     loads.notePeer(link.name, message.usedTokens, now);
+    this.peersSeen.set(link.name, {atMs: now, isStopping: message.isStopping});
     for (const [server, bornAtMs] of message.leaving) {
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -1,5 +1,10 @@
 /** Gives the orders of the layout while this entry holds the lease for it. */
-import {type Logger, type Metrics, type ServerId} from '@azurecrank/core';
+import {
+  type Lease,
+  type Logger,
+  type Metrics,
+  type ServerId,
+} from '@azurecrank/core';
 import type {LeaseHolder} from 'azurecrank';
 import type {ServerControl} from '../adapter/wire_codec.js';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
@@ -78,6 +83,22 @@
     clearTimeout(this.timer);
   }
 
+  /** Another entry stops and passes its lease to this one. */
+  adopt(lease: Lease): void {
+    this.options.lease.adopt(lease);
+    this.renewedAtMs = -Infinity;
+    this.isHolder = true;
+    this.noteFence(lease.fence);
+    this.hurry();
+  }
+
+  /** Gives no more orders; returns the lease for another entry. */
+  handOver(): Lease | undefined {
+    this[Symbol.dispose]();
+    this.isHolder = false;
+    return this.options.lease.handOver();
+  }
+
   /** Something was lost: the layout is checked at once. */
   hurry(): void {
     if (!this.isHolder || this.isRunning) return;
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -124,6 +124,8 @@
         heldTable: () => this.table.stored,
         offerTable: text => this.table.offer(text, 'peer'),
         onServerLost: () => this.layout?.hurry(),
+        isStopping: () => this.isStopping,
+        onLayoutHandover: lease => this.layout?.adopt(lease),
         layoutFence: () => this.layout?.fence ?? 0,
         onLayoutFence: fence => this.layout?.noteFence(fence),
       }),
@@ -204,6 +206,7 @@
     const beganMs = performance.now();
     const {graceMs} = this.settings;
     this.logger.info('leaving', {inFlight: this.gateway.inFlight});
+    this.handOverLayout();
     const elapsedMs = () => performance.now() - beganMs;
     const isDone = () =>
       elapsedMs() >= BALANCER_GRACE_MS && this.gateway.inFlight === 0;
@@ -215,6 +218,19 @@
     this[Symbol.dispose]();
   }
 
+  private handOverLayout(): void {
+    const lease = this.layout?.handOver();
+    if (!lease) return;
+    const peer = this.mesh.handOver(lease);
+    this.logger.info('layout lease handed over', {fence: lease.fence, peer});
+    // Without a fit peer another entry takes the lease as soon as it is free.
+    if (peer === undefined) {
+      this.keyValue.revokeLease(lease).catch(error => {
+        this.logger.warn('lease was not ended', {cause: String(error)});
+      });
+    }
+  }
+
   /** Settings are read at the start only; the file has the same content. */
   reload(): void {
     this.logger.info('reload requested', {
