--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -308,9 +308,11 @@
   readonly refusing: readonly string[];
   /**
    * Layers that servers were just seen to hold: id, start time (Unix ms),
-   * first layer and end; equal if there are none.
+   * orders accepted since then, first layer and end; equal if there are none.
    */
-  readonly held: ReadonlyArray<readonly [string, number, number, number]>;
+  readonly held: ReadonlyArray<
+    readonly [string, number, number, number, number]
+  >;
   /** Whether the entry stops and takes no new tasks. */
   readonly isStopping: boolean;
   /** Highest fencing number of layout orders that the entry knows of. */
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -16,16 +16,15 @@
  */
 export const LAPSED_GRACE_MS = 2200;
 
-/**
- * What a server has reported itself counts for this time, because its
- * registration follows later.
- */
-const OBSERVATION_MS = 3000;
+/** Own observations are told to peers for this time. */
+const TELL_MS = 1500;
 
 /** Layers that a server was seen to hold. */
 export interface HeldLayers {
   readonly server: ServerId;
   readonly bornAtMs: number;
+  /** Orders that the server had accepted since its start. */
+  readonly orderSequence: number;
   readonly layers: LayerRange | undefined;
 }
 
@@ -33,6 +32,8 @@
   readonly atMs: number;
   /** Whether this entry itself has asked the server. */
   readonly isOwn: boolean;
+  /** What its registration said then. */
+  readonly registered: LayerRange | undefined;
 }
 
 export class FleetView {
@@ -46,6 +47,8 @@
   /** Servers that peers have reported as leaving, by start time. */
   private readonly leaving = new Map<ServerId, number>();
   private readonly observations = new Map<ServerId, Observation>();
+  /** Layers as the registrations tell them. */
+  private readonly registered = new Map<ServerId, LayerRange | undefined>();
   private changes = 0;
 
   /** Rises with each change, so that callers can cache what they derive. */
@@ -57,12 +60,18 @@
     return this.servers.size;
   }
 
-  /** Takes a registration. */
-  put(server: BackendServer, nowMs: number): void {
+  /**
+   * Takes a registration. It follows the server's own reports by a second or
+   * two, so an observation counts until the registration says something new.
+   */
+  put(server: BackendServer): void {
     const seen = this.observations.get(server.server);
-    const isNewer =
-      seen?.bornAtMs === server.bornAtMs && nowMs - seen.atMs < OBSERVATION_MS;
-    const layers = isNewer ? seen.layers : server.layers;
+    const isSeenNewer =
+      seen?.bornAtMs === server.bornAtMs &&
+      isSameRange(seen.registered, server.layers);
+    const layers = isSeenNewer ? seen.layers : server.layers;
+    if (!isSeenNewer) this.observations.delete(server.server);
+    this.registered.set(server.server, server.layers);
     this.servers.set(server.server, {...server, layers});
     this.lapsed.delete(server.server);
     this.changes++;
@@ -70,6 +79,8 @@
 
   remove(server: ServerId): void {
     this.lapsed.delete(server);
+    this.observations.delete(server);
+    this.registered.delete(server);
     if (this.servers.delete(server)) this.changes++;
   }
 
@@ -90,15 +101,12 @@
         this.lapsed.set(server, nowMs + LAPSED_GRACE_MS);
       }
     }
-    for (const server of listed) this.put(server, nowMs);
+    for (const server of listed) this.put(server);
     this.changes++;
   }
 
   /** Forgets lapsed servers and suspicions whose time is over. */
   expire(nowMs: number): void {
-    for (const [server, {atMs}] of this.observations) {
-      if (nowMs - atMs >= OBSERVATION_MS) this.observations.delete(server);
-    }
     for (const [server, goneAtMs] of this.lapsed) {
       if (goneAtMs <= nowMs) this.remove(server);
     }
@@ -154,24 +162,24 @@
 
   /** Takes what a server has reported to hold. */
   observe(held: HeldLayers, nowMs: number): void {
-    this.takeObservation({...held, atMs: nowMs, isOwn: true});
+    this.takeObservation(held, nowMs, true);
   }
 
-  /** Takes what a server has reported to a peer; own observations stay. */
+  /** Takes what a server has reported to a peer. */
   observeAsTold(held: HeldLayers, nowMs: number): void {
-    if (this.observations.get(held.server)?.isOwn) return;
-    this.takeObservation({...held, atMs: nowMs, isOwn: false});
+    this.takeObservation(held, nowMs, false);
   }
 
-  private takeObservation(observation: Observation): void {
-    const {server, bornAtMs, layers} = observation;
+  private takeObservation(held: HeldLayers, atMs: number, isOwn: boolean) {
+    const {server, bornAtMs, layers, orderSequence} = held;
     const known = this.servers.get(server);
     if (!known || known.bornAtMs !== bornAtMs) return;
-    this.observations.set(server, observation);
-    const isSame =
-      known.layers?.firstLayer === layers?.firstLayer &&
-      known.layers?.endLayer === layers?.endLayer;
-    if (isSame) return;
+    // Peers repeat what they saw for a while, also when it has changed.
+    const before = this.observations.get(server);
+    if (before && orderSequence < before.orderSequence) return;
+    const registered = this.registered.get(server);
+    this.observations.set(server, {...held, atMs, isOwn, registered});
+    if (isSameRange(known.layers, layers)) return;
     this.servers.set(server, {...known, layers});
     this.changes++;
   }
@@ -179,7 +187,7 @@
   /** Recent own observations, for peers. */
   recentObservations(nowMs: number): HeldLayers[] {
     return [...this.observations.values()].filter(
-      ({atMs, isOwn}) => isOwn && nowMs - atMs < OBSERVATION_MS / 2,
+      ({atMs, isOwn}) => isOwn && nowMs - atMs < TELL_MS,
     );
   }
 
@@ -238,3 +246,10 @@
     return hasChanged;
   }
 }
+
+function isSameRange(
+  a: LayerRange | undefined,
+  b: LayerRange | undefined,
+): boolean {
+  return a?.firstLayer === b?.firstLayer && a?.endLayer === b?.endLayer;
+}
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -167,10 +167,9 @@
     for (const [server, bornAtMs] of message.leaving) {
       fleet.noteLeaving(server as ServerId, bornAtMs);
     }
-    for (const [server, bornAtMs, firstLayer, endLayer] of message.held) {
-      const layers = firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
+    for (const tuple of message.held) {
       // Not passed on again, since only own observations are told.
-      fleet.observeAsTold({server: server as ServerId, bornAtMs, layers}, now);
+      fleet.observeAsTold(fromHeldTuple(tuple), now);
     }
     for (const address of message.refusing) {
       if (!fleet.noteRefusingAsTold(address, now)) continue;
@@ -221,8 +220,15 @@
 function toHeldTuple({
   server,
   bornAtMs,
+  orderSequence,
   layers,
-}: HeldLayers): [string, number, number, number] {
+}: HeldLayers): EntryShares['held'][number] {
   const {firstLayer, endLayer} = layers ?? {firstLayer: 0, endLayer: 0};
-  return [server, bornAtMs, firstLayer, endLayer];
+  return [server, bornAtMs, orderSequence, firstLayer, endLayer];
+}
+
+function fromHeldTuple(tuple: EntryShares['held'][number]): HeldLayers {
+  const [server, bornAtMs, orderSequence, firstLayer, endLayer] = tuple;
+  const layers = firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
+  return {server: server as ServerId, bornAtMs, orderSequence, layers};
 }
--- /dev/null
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -0,0 +1,92 @@
+import {describe, it} from 'node:test';
+import {FleetView, type BackendServer} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import {SERVICE, emptyFleet} from './fleet_fixture.js';
+
+const OLD = {firstLayer: 0, endLayer: 5};
+const NEW = {firstLayer: 5, endLayer: 10};
+
+describe('FleetView', () => {
+  const [empty] = emptyFleet();
+  const registered: BackendServer = {...empty, layers: OLD};
+  const held = (orderSequence: number, layers: typeof OLD) => ({
+    server: empty.server,
+    bornAtMs: empty.bornAtMs,
+    orderSequence,
+    layers,
+  });
+
+  describe('layers that a server reports', () => {
+    it('count before its registration follows', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.observe(held(2, NEW), 1000);
+      fleet.put({...registered, state: 'ready'});
+      expect(fleet.get(empty.server)?.layers).toEqual(NEW);
+    });
+
+    it('do not hide a registration that says something new', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.observe(held(1, OLD), 1000);
+      fleet.put({...registered, layers: NEW});
+      expect(fleet.get(empty.server)?.layers).toEqual(NEW);
+    });
+
+    it('are replaced by what a peer saw after a later order', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.observe(held(1, OLD), 1000);
+      fleet.observeAsTold(held(2, NEW), 1200);
+      fleet.observeAsTold(held(1, OLD), 1400);
+      expect(fleet.get(empty.server)?.layers).toEqual(NEW);
+    });
+
+    it('are ignored if they are those of an earlier incarnation', () => {
+      const fleet = new FleetView();
+      fleet.put({...registered, bornAtMs: 2});
+      fleet.observe(held(9, NEW), 1000);
+      expect(fleet.get(empty.server)?.layers).toEqual(OLD);
+    });
+  });
+
+  describe('an outage of the directory', () => {
+    it('keeps servers whose entries lapsed for the grace time only', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.replaceAll([], 1000, true);
+      fleet.expire(3000);
+      expect(fleet.usable(SERVICE).length).toEqual(1);
+      fleet.expire(3300);
+      expect(fleet.usable(SERVICE).length).toEqual(0);
+    });
+  });
+
+  describe('marks', () => {
+    it('of peers end when they are no longer repeated', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.suspectAsTold(empty.address, 1000);
+      expect(fleet.usable(SERVICE).length).toEqual(0);
+      fleet.expire(2600);
+      expect(fleet.usable(SERVICE).length).toEqual(1);
+    });
+
+    it('of this entry stay until they are cleared', () => {
+      const fleet = new FleetView();
+      fleet.put(registered);
+      fleet.noteRefusing(empty.address);
+      fleet.expire(1e9);
+      expect(fleet.usable(SERVICE).length).toEqual(0);
+      fleet.clearRefusing(empty.address);
+      expect(fleet.usable(SERVICE).length).toEqual(1);
+    });
+  });
+
+  it('gives no work to a server that a peer saw leaving', () => {
+    const fleet = new FleetView();
+    fleet.put(registered);
+    fleet.noteLeaving(empty.server, empty.bornAtMs);
+    expect(fleet.usable(SERVICE).length).toEqual(0);
+  });
+});
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -208,7 +208,7 @@
   readonly relay: StreamRelay;
 
   constructor(route: Partial<Route> = {}) {
-    for (const server of laidOutFleet()) this.fleet.put(server, this.nowMs);
+    for (const server of laidOutFleet()) this.fleet.put(server);
     const logger = new Logger('test', 'silent');
     const metrics = new Metrics();
     const nowMs = () => this.nowMs;
