--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,14 +4,20 @@
 const projectFiles = {
   languageOptions: {
     parserOptions: {
-      project: './packages/*/tsconfig.json',
+      project: ['./packages/*/tsconfig.json', './platform/tsconfig.json'],
       tsconfigRootDir: import.meta.dirname,
     },
   },
 };
 
+/** Names of the users' platform, which only its adapter may know. */
+const platformNames =
+  '/kv-(key|range|watch|txn|lease|keep)|azurecrank-(hop-count|expect-instance|' +
+  'tenant|response-seal|token-count|prompt-prefix)|azurecrank_node_file|' +
+  'op\\/config|at-server/i';
+
 export default [
-  {ignores: ['**/dist/', '**/node_modules/', '*.config.js']},
+  {ignores: ['**/dist/', '**/node_modules/', 'target/', '*.config.js']},
   ...gts,
   {
     files: ['**/*.js'],
@@ -39,4 +45,19 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {patterns: ['@azurecrank/platform*']}],
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'ExportDefaultDeclaration', message: 'Use named exports.'},
+        {selector: 'PrivateIdentifier', message: 'Use private, not #.'},
+        {
+          selector: `Literal[value=${platformNames}]`,
+          message: 'Names of the platform belong into platform/.',
+        },
+      ],
+    },
+  },
 ];
--- /dev/null
+++ b/packages/forwarding/test/event_splitter_test.ts
@@ -0,0 +1,48 @@
+import {describe, it} from 'node:test';
+import {EventSplitter} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import fc from 'fast-check';
+
+function event(id: number): string {
+  return `id: ${id}\ndata: text ${id}\n\n`;
+}
+
+describe('EventSplitter', () => {
+  it('passes whole events on byte for byte, however they are cut', () => {
+    const text = [1, 2, 3, 4].map(event).join('');
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({min: 0, max: text.length}), {maxLength: 8}),
+        cuts => {
+          const splitter = new EventSplitter();
+          const ends = [0, ...cuts.sort((a, b) => a - b), text.length];
+          const passed = ends
+            .slice(1)
+            .map((end, i) => Buffer.from(text.slice(ends[i], end)))
+            .map(chunk => splitter.push(chunk).bytes.toString());
+          return passed.join('') === text && !splitter.hasPartial;
+        },
+      ),
+    );
+  });
+
+  it('holds back an event that has not ended', () => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(event(1) + 'id: 2\ndata'));
+    expect(splitter.lastEventId).toEqual(1);
+    expect(splitter.hasPartial).toEqual(true);
+  });
+
+  it('leaves out events up to the one that the caller has', () => {
+    const splitter = new EventSplitter(2);
+    const {bytes} = splitter.push(Buffer.from([1, 2, 3].map(event).join('')));
+    expect(bytes.toString()).toEqual(event(3));
+  });
+
+  it('takes line ends of two bytes', () => {
+    const splitter = new EventSplitter();
+    const text = 'id: 7\r\ndata: x\r\n\r\n';
+    expect(splitter.push(Buffer.from(text)).bytes.toString()).toEqual(text);
+    expect(splitter.lastEventId).toEqual(7);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/test/paths_test.ts
@@ -0,0 +1,68 @@
+import {describe, it} from 'node:test';
+import {findChains, findPath, silentPaths} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import {MODEL, laidOutFleet} from './fleet_fixture.js';
+
+describe('findPath', () => {
+  const fleet = laidOutFleet();
+  it('passes no server twice', () => {
+    for (const {path} of findChains(MODEL, fleet)) {
+      const servers = new Set(path.map(({server}) => server.server));
+      expect(servers.size).toEqual(path.length);
+    }
+  });
+
+  it('keeps the first part and avoids a lost server', () => {
+    const chains = findChains(MODEL, fleet);
+    const replaced = chains.flatMap(({path: current}) => {
+      const [firstPart] = current;
+      const zone = firstPart.server.availabilityZone;
+      const inZone = fleet.filter(s => s.availabilityZone === zone);
+      return current.slice(1).flatMap(({server: lost}) => {
+        const servers = inZone.filter(({server}) => server !== lost.server);
+        const path = findPath({model: MODEL, servers, current, firstPart});
+        return path ? [{firstPart, lost, path}] : [];
+      });
+    });
+    // Only zones with memory to spare hold copies.
+    expect(replaced.length).toBeGreaterThan(0);
+    for (const {firstPart, lost, path} of replaced) {
+      expect(path[0]).toEqual(firstPart);
+      const used = path.map(({server}) => server.server);
+      expect(used).not.toInclude(lost.server);
+    }
+  });
+
+  it('finds nothing where a layer is missing', () => {
+    const without = fleet.filter(({layers}) => (layers?.firstLayer ?? 0) > 0);
+    expect(findPath({model: MODEL, servers: without})).toEqual(undefined);
+  });
+});
+
+describe('silentPaths', () => {
+  const [chain, other] = findChains(MODEL, laidOutFleet());
+
+  it('sees three streams of a path that fell silent together', () => {
+    const streams = [900, 910, 915].map(sinceMs => ({
+      path: chain.path,
+      sinceMs,
+    }));
+    expect(silentPaths(streams, 980)).toEqual([]);
+    expect(silentPaths(streams, 1000)).toEqual([chain.path]);
+  });
+
+  it('waits longer for a single stream', () => {
+    const streams = [{path: chain.path, sinceMs: 900}];
+    expect(silentPaths(streams, 1000)).toEqual([]);
+    expect(silentPaths(streams, 1050)).toEqual([chain.path]);
+  });
+
+  it('does not take a path as silent of which one stream moves', () => {
+    const streams = [100, 100, 990].map(sinceMs => ({
+      path: chain.path,
+      sinceMs,
+    }));
+    const silent = {path: other.path, sinceMs: 100};
+    expect(silentPaths([...streams, silent], 1000)).toEqual([other.path]);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/test/routing_test.ts
@@ -0,0 +1,115 @@
+import {describe, it} from 'node:test';
+import type {ServiceId, WorkspaceId} from '@azurecrank/core';
+import {
+  RouteIndex,
+  acceptRequest,
+  pickService,
+  type CallerFacts,
+  type Route,
+} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+
+function route(pathPrefix: string, options: Partial<Route> = {}): Route {
+  return {
+    name: pathPrefix,
+    host: 'shop.example',
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    latencyTargetMs: 100,
+    maxAttempts: 2,
+    priority: 1,
+    allowsAnonymous: false,
+    isResumable: false,
+    pauseTargetMs: 0,
+    services: [{service: 'desk' as ServiceId, weight: 1}],
+    ...options,
+  };
+}
+
+const FACTS: CallerFacts = {
+  request: 'r1',
+  deadlineMs: 1000,
+  key: 'k1',
+  lastEventId: undefined,
+  promptTokens: 0,
+  maxAnswerTokens: 0,
+  expectedAnswerTokens: undefined,
+};
+
+describe('RouteIndex', () => {
+  const index = new RouteIndex([route('/a/'), route('/a/b/'), route('/c/')]);
+  const find = (target: string, host = 'shop.example') =>
+    index.find(host, target)?.name;
+
+  it('takes the longest prefix of the host', () => {
+    expect(find('/a/b/c')).toEqual('/a/b/');
+    expect(find('/a/x')).toEqual('/a/');
+    expect(find('/a/b')).toEqual('/a/');
+  });
+
+  it('ignores the query, the port and the case of the host', () => {
+    expect(find('/c/?next=/a/b/', 'SHOP.example:80')).toEqual('/c/');
+  });
+
+  it('finds nothing elsewhere', () => {
+    expect(find('/d/')).toEqual(undefined);
+    expect(find('/a/', 'other.example')).toEqual(undefined);
+  });
+});
+
+describe('acceptRequest', () => {
+  const table = {
+    version: 1,
+    routes: [],
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    workspaces: new Map([
+      ['k1', {workspace: 'w1' as WorkspaceId, priority: undefined}],
+    ]),
+  };
+  const index = new RouteIndex([
+    route('/a/'),
+    route('/open/', {allowsAnonymous: true}),
+  ]);
+  const decide = (target: string, facts: Partial<CallerFacts> = {}) => {
+    const all = {...FACTS, ...facts};
+    const result = acceptRequest({table, index}, 'shop.example', target, all);
+    return result.kind === 'accepted' ? 'accepted' : result.refusal.reason;
+  };
+
+  it('tells no configuration, no route and no key apart', () => {
+    const none = acceptRequest(undefined, 'shop.example', '/a/', FACTS);
+    expect(none.kind === 'refused' && none.refusal.reason).toEqual('starting');
+    expect(decide('/x/')).toEqual('unknown_path');
+    expect(decide('/a/', {key: 'other'})).toEqual('unauthorized');
+    expect(decide('/a/', {key: undefined})).toEqual('unauthorized');
+    expect(decide('/a/')).toEqual('accepted');
+  });
+
+  it('needs no key on an open route', () => {
+    expect(decide('/open/', {key: undefined})).toEqual('accepted');
+  });
+});
+
+describe('pickService', () => {
+  it('follows the weights of a split', () => {
+    const split = route('/a/', {
+      services: [
+        {service: 'old' as ServiceId, weight: 90},
+        {service: 'new' as ServiceId, weight: 10},
+      ],
+    });
+    let toNew = 0;
+    for (let i = 0; i < 2000; i++) {
+      if (pickService(split, `request-${i}`) === 'new') toNew++;
+    }
+    expect(toNew).toBeGreaterThan(140);
+    expect(toNew).toBeLessThan(260);
+  });
+});
--- a/scripts/run_tests.js
+++ b/scripts/run_tests.js
@@ -15,7 +15,9 @@
 
 function findTestFiles(filters) {
   return readdirSync(join(ROOT, 'packages'))
-    .map(name => join(ROOT, 'packages', name, 'dist', 'test'))
+    .map(name => join('packages', name))
+    .concat('platform')
+    .map(path => join(ROOT, path, 'dist', 'test'))
     .filter(existsSync)
     .flatMap(dir =>
       readdirSync(dir, {recursive: true}).map(file => join(dir, String(file))),
