--- a/packages/azurecrank/test/documentation_test.ts
+++ b/packages/azurecrank/test/documentation_test.ts
@@ -11,8 +11,8 @@
 import {expect} from 'earl';
 
 const ROOT = join(import.meta.dirname, '../../../..');
-const PAGE = readFileSync(join(ROOT, 'docs/operations.md'), 'utf8');
-const SOURCES = ['core', 'azurecrank', 'side'].map(name =>
+const PAGE = readFileSync(join(ROOT, 'docs/OPERATIONS.md'), 'utf8');
+const SOURCES = ['core', 'azurecrank', 'side', 'forwarding'].map(name =>
   join(ROOT, 'packages', name, 'src'),
 );
 const CATALOG = 'metric_catalog.ts';
@@ -40,7 +40,7 @@
 }
 
 // Guards against a page that falls behind the code.
-describe('docs/operations.md', () => {
+describe('docs/OPERATIONS.md', () => {
   const shapes = {...entrySettingsSchema.shape, ...sideSettingsSchema.shape};
   for (const [key, field] of Object.entries(shapes)) {
     it(`has the setting ${snakeCase(key)} with its default`, () => {
--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -213,6 +213,13 @@
     help: 'Calls to the plain service, by outcome',
     owners: SIDE,
   },
+  azurecrank_layout_orders_total: {
+    kind: 'counter',
+    help: 'Orders to hold layers, by outcome',
+    owners: ENTRY,
+    label: 'outcome',
+    values: ['accepted', 'fenced', 'conflict', 'missing', 'unknown'],
+  },
   azurecrank_claim_writes_total: {
     kind: 'counter',
     help: 'Writes of claim pages, by outcome',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export * from './core/settings/read_settings.js';
 export * from './core/settings/process_settings.js';
 export * from './core/telemetry/logger.js';
+export * from './core/telemetry/line_writer.js';
 export * from './core/telemetry/metrics.js';
 export * from './core/telemetry/metric_catalog.js';
 export * from './core/placement/plan.js';
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -276,8 +276,14 @@
     const {bytes, events} = this.splitter.push(chunk);
     if (events === 0) return;
     const now = this.options.nowMs();
-    if (this.firstEventAtMs === undefined) this.firstEventAtMs = now;
-    else {
+    if (this.firstEventAtMs === undefined) {
+      this.firstEventAtMs = now;
+      this.options.metrics.observeMs(
+        'azurecrank_first_token_ms',
+        now - this.exchange.receivedAtMs,
+        {rank: this.item.rank},
+      );
+    } else {
       const pauseMs = now - this.lastEventAtMs;
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     }
