Do not let replaced observations come back; leave busy zones alone

Tests: fleet_view_test, three cases, failed before. Also: a zone whose servers still carry out orders gets no new ones, and a joining server copies one part, so that a release does not divide the layers anew each second.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -19,6 +19,9 @@
 /** Own observations are told to peers for this time. */
 const TELL_MS = 1500;
 
+/** A registration is never further behind than this while it is written. */
+const REGISTRATION_LAG_MS = 6000;
+
 /** Layers that a server was seen to hold. */
 export interface HeldLayers {
   readonly server: ServerId;
@@ -47,6 +50,8 @@
   /** Servers that peers have reported as leaving, by start time. */
   private readonly leaving = new Map<ServerId, number>();
   private readonly observations = new Map<ServerId, Observation>();
+  /** Last observations that a newer registration has replaced. */
+  private readonly superseded = new Map<ServerId, Observation>();
   /** Layers as the registrations tell them. */
   private readonly registered = new Map<ServerId, LayerRange | undefined>();
   private changes = 0;
@@ -64,13 +69,17 @@
    * Takes a registration. It follows the server's own reports by a second or
    * two, so an observation counts until the registration says something new.
    */
-  put(server: BackendServer): void {
+  put(server: BackendServer, nowMs: number): void {
     const seen = this.observations.get(server.server);
     const isSeenNewer =
       seen?.bornAtMs === server.bornAtMs &&
-      isSameRange(seen.registered, server.layers);
+      isSameRange(seen.registered, server.layers) &&
+      nowMs - seen.atMs < REGISTRATION_LAG_MS;
     const layers = isSeenNewer ? seen.layers : server.layers;
-    if (!isSeenNewer) this.observations.delete(server.server);
+    if (seen && !isSeenNewer) {
+      this.observations.delete(server.server);
+      this.superseded.set(server.server, seen);
+    }
     this.registered.set(server.server, server.layers);
     this.servers.set(server.server, {...server, layers});
     this.lapsed.delete(server.server);
@@ -80,6 +89,7 @@
   remove(server: ServerId): void {
     this.lapsed.delete(server);
     this.observations.delete(server);
+    this.superseded.delete(server);
     this.registered.delete(server);
     if (this.servers.delete(server)) this.changes++;
   }
@@ -101,7 +111,7 @@
         this.lapsed.set(server, nowMs + LAPSED_GRACE_MS);
       }
     }
-    for (const server of listed) this.put(server);
+    for (const server of listed) this.put(server, nowMs);
     this.changes++;
   }
 
@@ -177,6 +187,10 @@
     // Peers repeat what they saw for a while, also when it has changed.
     const before = this.observations.get(server);
     if (before && orderSequence < before.orderSequence) return;
+    const old = this.superseded.get(server);
+    const isOld =
+      old?.bornAtMs === bornAtMs && orderSequence <= old.orderSequence;
+    if (isOld && !isOwn) return;
     const registered = this.registered.get(server);
     this.observations.set(server, {...held, atMs, isOwn, registered});
     if (isSameRange(known.layers, layers)) return;
@@ -184,10 +198,11 @@
     this.changes++;
   }
 
-  /** Recent own observations, for peers. */
+  /** Recent own observations that registrations do not tell, for peers. */
   recentObservations(nowMs: number): HeldLayers[] {
     return [...this.observations.values()].filter(
-      ({atMs, isOwn}) => isOwn && nowMs - atMs < TELL_MS,
+      ({atMs, isOwn, layers, registered}) =>
+        isOwn && nowMs - atMs < TELL_MS && !isSameRange(layers, registered),
     );
   }
 
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -178,7 +178,8 @@
         .usable(service)
         .map(server => this.withPending(server));
       const orders = planLayout(model, expected);
-      await Promise.all(orders.map(order => this.give(order)));
+      const ready = this.withoutBusyZones(orders);
+      await Promise.all(ready.map(order => this.give(order)));
     }
   }
 
@@ -231,8 +232,31 @@
     return counts ? {...server, layers: range} : server;
   }
 
+  /**
+   * Leaves out the orders of zones in which they would concern a server that
+   * still carries out an earlier one: it would refuse, and a part of a plan is
+   * worse than the whole plan a little later.
+   */
+  private withoutBusyZones(orders: readonly LayoutOrder[]): LayoutOrder[] {
+    const busyZones = new Set(
+      orders
+        .filter(({server}) => this.isCarryingOut(server))
+        .map(({server}) => server.availabilityZone),
+    );
+    return orders.filter(({server}) => !busyZones.has(server.availabilityZone));
+  }
+
+  private isCarryingOut({server, bornAtMs}: BackendServer): boolean {
+    const pending = this.pending.get(server);
+    if (!pending || pending.bornAtMs !== bornAtMs) return false;
+    const held = this.options.fleet.get(server)?.layers;
+    const isDone = isSameRange(held, pending.order.range);
+    const ageMs = this.options.nowMs() - pending.atMs;
+    return !isDone && ageMs < ORDER_PENDING_MS;
+  }
+
   private async give(order: LayoutOrder): Promise<void> {
-    const {control, fleet, lease, logger, nowMs, metrics} = this.options;
+    const {control, lease, logger, nowMs, metrics} = this.options;
     const {server, range} = order;
     const fence = lease.fence;
     if (fence === undefined) return;
@@ -244,8 +268,10 @@
     });
     try {
       const report = await control.report(server.address, REPORT_TIMEOUT_MS);
-      fleet.observe({server: server.server, ...report}, nowMs());
-      if (isSameRange(report.layers, range) || report.isBusy) return;
+      if (isSameRange(report.layers, range) || report.isBusy) {
+        this.pending.delete(server.server);
+        return;
+      }
       const outcome = await control.place({
         server,
         range,
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -8,7 +8,8 @@
 import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import {layersThatFit} from '../fleet/server_capacity.js';
-import {findChains} from '../paths/find_chains.js';
+import {findChains, type ServerChain} from '../paths/find_chains.js';
+import type {PathPart} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {divideLayers, layerCost, rangesWithCopies} from './divide_layers.js';
 import {redivide, type Division} from './redivide.js';
@@ -35,6 +36,9 @@
 /** A chain with less room than this is divided anew if that gains enough. */
 const LITTLE_ROOM_TOKENS = 60_000;
 
+/** Tokens for which a server that joins a chain leaves memory. */
+const JOINING_TOKENS = 30_000;
+
 /** More room has to be worth the weights that are loaded for it. */
 const LEAST_GAIN = 1.2;
 
@@ -78,20 +82,42 @@
     chains.slice(0, -1).flatMap(({path}) => path.map(p => p.server.server)),
   );
   const others = servers.filter(({server}) => !settled.has(server));
-  const wantsRoom = smallest.capacityTokens < LITTLE_ROOM_TOKENS;
-  const hasEmpty = others.some(({layers}) => !layers);
-  if (!wantsRoom && !hasEmpty) return [];
-  const leastTokens = wantsRoom
-    ? smallest.capacityTokens * LEAST_GAIN
-    : LITTLE_ROOM_TOKENS;
+  if (smallest.capacityTokens >= LITTLE_ROOM_TOKENS) {
+    return planJoining(model, others, smallest);
+  }
   const inUse = new Map(
     smallest.path.map(({server, firstLayer, endLayer}) => [
       server.server,
       {firstLayer, endLayer},
     ]),
   );
+  const leastTokens = smallest.capacityTokens * LEAST_GAIN;
   const division = bestDivision(model, others, leastTokens, inUse);
-  return division ? [...division.orders] : [];
+  return division ? [...division.orders] : planJoining(model, others, smallest);
+}
+
+/**
+ * Servers that join a chain with room copy its slowest parts. The others stay
+ * as they are: while the servers of a zone are replaced one after the other,
+ * dividing the layers anew for each would never come to an end.
+ */
+function planJoining(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  chain: ServerChain,
+): LayoutOrder[] {
+  const cost = ({server, firstLayer, endLayer}: PathPart) =>
+    (endLayer - firstLayer) * layerCost(model, server);
+  // The first part cannot be replaced at running requests.
+  const parts = chain.path.slice(1).sort((a, b) => cost(b) - cost(a));
+  const empty = servers.filter(({layers}) => !layers);
+  return sortBySpeed(model, empty).flatMap((server, i) => {
+    const part = parts[i % Math.max(1, parts.length)];
+    const fitting = layersThatFit(model, server, JOINING_TOKENS);
+    if (!part || fitting === 0) return [];
+    const firstLayer = Math.max(0, part.endLayer - fitting);
+    return [{server, range: {firstLayer, endLayer: part.endLayer}}];
+  });
 }
 
 /**
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -336,7 +336,7 @@
         continue;
       }
       for (const server of this.decodeServer({key, value})) {
-        this.fleet.put(server);
+        this.fleet.put(server, performance.now());
       }
     }
     this.noteFleet();
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -19,32 +19,58 @@
   describe('layers that a server reports', () => {
     it('count before its registration follows', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.observe(held(2, NEW), 1000);
-      fleet.put({...registered, state: 'ready'});
+      fleet.put({...registered, state: 'ready'}, 1100);
       expect(fleet.get(empty.server)?.layers).toEqual(NEW);
     });
 
     it('do not hide a registration that says something new', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.observe(held(1, OLD), 1000);
-      fleet.put({...registered, layers: NEW});
+      fleet.put({...registered, layers: NEW}, 1100);
       expect(fleet.get(empty.server)?.layers).toEqual(NEW);
     });
 
     it('are replaced by what a peer saw after a later order', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.observe(held(1, OLD), 1000);
       fleet.observeAsTold(held(2, NEW), 1200);
       fleet.observeAsTold(held(1, OLD), 1400);
       expect(fleet.get(empty.server)?.layers).toEqual(NEW);
     });
 
+    it('of a peer do not come back after a newer registration', () => {
+      const fleet = new FleetView();
+      fleet.put({...registered, layers: undefined}, 0);
+      fleet.observeAsTold(held(0, OLD), 900);
+      fleet.put({...registered, layers: NEW}, 1000);
+      fleet.observeAsTold(held(0, OLD), 1100);
+      expect(fleet.get(empty.server)?.layers).toEqual(NEW);
+    });
+
+    it('are not told to peers if registrations tell them', () => {
+      const fleet = new FleetView();
+      fleet.put(registered, 0);
+      fleet.observe(held(0, OLD), 900);
+      expect(fleet.recentObservations(1000)).toEqual([]);
+      fleet.observe(held(1, NEW), 1000);
+      expect(fleet.recentObservations(1100).length).toEqual(1);
+    });
+
+    it('end when a later registration still does not tell them', () => {
+      const fleet = new FleetView();
+      fleet.put(registered, 0);
+      fleet.observe(held(1, NEW), 1000);
+      fleet.put(registered, 8000);
+      expect(fleet.get(empty.server)?.layers).toEqual(OLD);
+    });
+
     it('are ignored if they are those of an earlier incarnation', () => {
       const fleet = new FleetView();
-      fleet.put({...registered, bornAtMs: 2});
+      fleet.put({...registered, bornAtMs: 2}, 0);
       fleet.observe(held(9, NEW), 1000);
       expect(fleet.get(empty.server)?.layers).toEqual(OLD);
     });
@@ -53,7 +79,7 @@
   describe('an outage of the directory', () => {
     it('keeps servers whose entries lapsed for the grace time only', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.replaceAll([], 1000, true);
       fleet.expire(3000);
       expect(fleet.usable(SERVICE).length).toEqual(1);
@@ -65,7 +91,7 @@
   describe('marks', () => {
     it('of peers end when they are no longer repeated', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.suspectAsTold(empty.address, 1000);
       expect(fleet.usable(SERVICE).length).toEqual(0);
       fleet.expire(2600);
@@ -74,7 +100,7 @@
 
     it('of this entry stay until they are cleared', () => {
       const fleet = new FleetView();
-      fleet.put(registered);
+      fleet.put(registered, 0);
       fleet.noteRefusing(empty.address);
       fleet.expire(1e9);
       expect(fleet.usable(SERVICE).length).toEqual(0);
@@ -85,7 +111,7 @@
 
   it('gives no work to a server that a peer saw leaving', () => {
     const fleet = new FleetView();
-    fleet.put(registered);
+    fleet.put(registered, 0);
     fleet.noteLeaving(empty.server, empty.bornAtMs);
     expect(fleet.usable(SERVICE).length).toEqual(0);
   });
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -27,7 +27,7 @@
   });
 
   constructor() {
-    for (const server of laidOutFleet()) this.fleet.put(server);
+    for (const server of laidOutFleet()) this.fleet.put(server, 0);
   }
 
   chains(): ServerChain[] {
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -208,7 +208,7 @@
   readonly relay: StreamRelay;
 
   constructor(route: Partial<Route> = {}) {
-    for (const server of laidOutFleet()) this.fleet.put(server);
+    for (const server of laidOutFleet()) this.fleet.put(server, 0);
     const logger = new Logger('test', 'silent');
     const metrics = new Metrics();
     const nowMs = () => this.nowMs;
