Let observations yield to registrations; take nothing new late in a stop

Tests: fleet_view_test 'yield to the registration', stream_relay_test 'waits for room and continues'.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -19,6 +19,9 @@
 /** Own observations are told to peers for this time. */
 const TELL_MS = 1500;
 
+/** Registrations follow within this time. */
+const OBSERVATION_MS = 3000;
+
 /** A registration is never further behind than this while it is written. */
 const REGISTRATION_LAG_MS = 6000;
 
@@ -115,8 +118,13 @@
     this.changes++;
   }
 
-  /** Forgets lapsed servers and suspicions whose time is over. */
-  expire(nowMs: number): void {
+  /**
+   * Forgets lapsed servers, marks and observations whose time is over.
+   * @param isDirectoryLive whether registrations follow; while they do not,
+   *     observations are all there is.
+   */
+  expire(nowMs: number, isDirectoryLive = true): void {
+    if (isDirectoryLive) this.expireObservations(nowMs);
     for (const [server, goneAtMs] of this.lapsed) {
       if (goneAtMs <= nowMs) this.remove(server);
     }
@@ -170,6 +178,19 @@
     return this.isLeaving(server) || this.refusing.has(server.address);
   }
 
+  /** Reports lag, so what nobody confirms yields to the registration. */
+  private expireObservations(nowMs: number): void {
+    for (const [server, {atMs, isOwn}] of this.observations) {
+      if (nowMs - atMs < (isOwn ? OBSERVATION_MS : TELL_MS)) continue;
+      this.observations.delete(server);
+      const known = this.servers.get(server);
+      const layers = this.registered.get(server);
+      if (!known || isSameRange(known.layers, layers)) continue;
+      this.servers.set(server, {...known, layers});
+      this.changes++;
+    }
+  }
+
   /** Takes what a server has reported to hold. */
   observe(held: HeldLayers, nowMs: number): void {
     this.takeObservation(held, nowMs, true);
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -30,6 +30,11 @@
   readonly refusals: RefusalSender;
   /** Whether callers are asked to open a new channel, to another process. */
   readonly isLeaving: () => boolean;
+  /**
+   * False in the last part of a planned stop: what is accepted then could not
+   * end before the process does.
+   */
+  readonly takesNew: () => boolean;
   readonly nowMs: () => number;
 }
 
@@ -82,6 +87,9 @@
   private async serve(exchange: CallerExchange): Promise<void> {
     const {options} = this;
     const {req, facts, target, receivedAtMs} = exchange;
+    if (options.isLeaving() && !options.takesNew()) {
+      return options.refusals.refuse(exchange, refuse('leaving', 'accept'));
+    }
     const view = options.view();
     const host = req.headers.host ?? '';
     const decision = acceptRequest(view, host, target, facts);
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -206,8 +206,10 @@
       if (!server || !range || isSameRange(server.layers, range)) return;
       try {
         const report = await control.report(server.address, REPORT_TIMEOUT_MS);
+        // Reports lag: only one that shows the order done tells something.
+        if (!isSameRange(report.layers, range)) return;
         fleet.observe({server: id, ...report}, nowMs());
-        hasLoaded ||= isSameRange(report.layers, range);
+        hasLoaded = true;
       } catch (error) {
         const fields = {peer: server.address, cause: String(error)};
         logger.info('order cannot be followed', fields);
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -75,7 +75,7 @@
  * Eight entries together stay below a budget of a fifth of the requests and
  * some 400 more in 10 s.
  */
-const RETRIES = {perSuccess: 0.15, perSecond: 1, capacity: 30};
+const RETRIES = {perSuccess: 0.15, perSecond: 1, capacity: 40};
 
 export class ForwardingProcess implements RunnableProcess, Disposable {
   readonly metrics = new Metrics();
@@ -92,6 +92,8 @@
   private readonly pauses = new PauseMonitor();
   private callers: Server | undefined;
   private layout: LayoutRunner | undefined;
+  private serversFollower: PrefixFollower | undefined;
+  private stopBeganMs = Infinity;
   private hasServers = false;
   private isStopping = false;
   private boundPeerAddress = '' as PeerAddress;
@@ -166,6 +168,8 @@
         streams: {...common, control: adapter.control, doctor, loads},
         refusals,
         isLeaving: () => this.isStopping,
+        takesNew: () =>
+          performance.now() - this.stopBeganMs < BALANCER_GRACE_MS,
         nowMs,
       }),
     );
@@ -204,6 +208,7 @@
     if (this.isStopping) return;
     this.isStopping = true;
     const beganMs = performance.now();
+    this.stopBeganMs = beganMs;
     const {graceMs} = this.settings;
     this.logger.info('leaving', {inFlight: this.gateway.inFlight});
     this.handOverLayout();
@@ -324,6 +329,7 @@
         },
       }),
     ];
+    this.serversFollower = followers[1];
     for (const follower of followers) this.store.add(follower).start();
   }
 
@@ -436,7 +442,8 @@
   }
 
   private pump(): void {
-    this.fleet.expire(performance.now());
+    const isLive = this.serversFollower?.isConnected ?? false;
+    this.fleet.expire(performance.now(), isLive);
     for (const admission of this.admissions.values()) admission.pump();
   }
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -97,6 +97,8 @@
   private longestPauseMs = 0;
   private attempts = 0;
   private repaths = 0;
+  /** Sends that a server refused without running them. */
+  private refusals = 0;
   private mayHaveRun = false;
   private hasHead = false;
   private isRepathing = false;
@@ -350,12 +352,14 @@
     if (this.isOver) return;
     const {nowMs, budget, metrics} = this.options;
     const now = nowMs();
+    // A server that refused did not run it; that is no attempt.
+    if (isLive) this.refusals++;
     this.failedFirsts.add(first);
     const decision = decideStream({
       isResumable: this.accepted.route.isResumable,
       hasBegun: this.hasHead,
       mayHaveRun: this.mayHaveRun,
-      attempts: this.attempts,
+      attempts: this.attempts - this.refusals,
       leftMs: this.accepted.deadlineAtMs - now,
       mayRetry: budget.available(now) >= 1,
       silentMs: now - this.lastEventAtMs,
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -60,6 +60,16 @@
       expect(fleet.recentObservations(1100).length).toEqual(1);
     });
 
+    it('yield to the registration when nobody confirms them', () => {
+      const fleet = new FleetView();
+      fleet.put({...registered, layers: NEW}, 0);
+      fleet.observeAsTold(held(1, OLD), 100);
+      fleet.expire(1700, false);
+      expect(fleet.get(empty.server)?.layers).toEqual(OLD);
+      fleet.expire(1700, true);
+      expect(fleet.get(empty.server)?.layers).toEqual(NEW);
+    });
+
     it('end when a later registration still does not tell them', () => {
       const fleet = new FleetView();
       fleet.put(registered, 0);
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -96,6 +96,24 @@
     });
   });
 
+  describe('servers refuse a begun stream again and again', () => {
+    it('waits for room and continues (little room after a loss)', async () => {
+      const harness = new RelayHarness();
+      harness.begin();
+      harness.events(1);
+      harness.sent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+      for (let refusal = 0; refusal < 5; refusal++) {
+        harness.sent.handlers.onHead(503, ['not-run']);
+        harness.sent.handlers.onEnd();
+        await harness.pass(250);
+      }
+      expect(harness.res.destroyed).toEqual(false);
+      harness.begin();
+      harness.events(2);
+      expect(harness.res.body).toEqual(expect.includes('id: 2'));
+    });
+  });
+
   describe('the caller leaves', () => {
     it('stops the work of the server and frees its memory', () => {
       const harness = new RelayHarness();
