--- a/packages/core/src/core/telemetry/line_writer.ts
+++ b/packages/core/src/core/telemetry/line_writer.ts
@@ -14,7 +14,7 @@
 }
 
 export const DEFAULT_LINE_WRITER: LineWriterOptions = {
-  // Ten times the lines of an entry on a day with failures, as measured.
+  // An estimate: an entry serves some 20 requests a second, a few lines each.
   maxLinesPerS: 1000,
   usualShare: 0.7,
   maxWaitingBytes: 256 * 1024,
