Let events outweigh suspicions; wait as long as callers do

Ruled out: a dead server (runs went on until the entry cut them); overload (chains had room). Change: a server through which an event came in the last 250 ms is not suspected, whoever says so. Streams wait as long as their caller. A report of a later start shows that the registered run has ended; of two servers at one address the last started counts. Tests: 'does not let a lost answer outweigh events', 'goes on as long as the caller waits', 'show that the registered run has ended', hasProgress.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -219,7 +219,10 @@
   private takeObservation(held: HeldLayers, atMs: number, isOwn: boolean) {
     const {server, bornAtMs, layers, orderSequence} = held;
     const known = this.servers.get(server);
-    if (!known || known.bornAtMs !== bornAtMs) return;
+    if (!known) return;
+    // Another run answers at the address: the registered one has ended.
+    if (known.bornAtMs < bornAtMs) this.noteLeaving(server, known.bornAtMs);
+    if (known.bornAtMs !== bornAtMs) return;
     // Peers repeat what they saw for a while, also when it has changed.
     const before = this.observations.get(server);
     if (before && orderSequence < before.orderSequence) return;
@@ -272,17 +275,25 @@
   }
 
   at(address: ServerAddress): BackendServer | undefined {
+    let newest: BackendServer | undefined;
     for (const server of this.servers.values()) {
-      if (server.address === address) return server;
+      if (server.address !== address) continue;
+      if (!newest || server.bornAtMs > newest.bornAtMs) newest = server;
     }
-    return undefined;
+    return newest;
   }
 
   /** Servers of the service that do not leave, also suspected ones. */
   staying(service: ServiceId): BackendServer[] {
-    return [...this.servers.values()].filter(
-      server => server.service === service && !this.isLeaving(server),
-    );
+    const newest = new Map<ServerAddress, BackendServer>();
+    for (const server of this.servers.values()) {
+      if (server.service !== service || this.isLeaving(server)) continue;
+      // A server that has restarted at once is there under both ids.
+      const other = newest.get(server.address);
+      if (other && other.bornAtMs > server.bornAtMs) continue;
+      newest.set(server.address, server);
+    }
+    return [...newest.values()];
   }
 
   /** Servers of the service that may get work. */
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -14,7 +14,12 @@
   WaitingRequest,
 } from '../admission/model_admission.js';
 import {CallRelay, type CallRelayOptions} from '../relay/call_relay.js';
-import {silentPaths, type StreamProgress} from '../relay/collective_silence.js';
+import type {ServerAddress} from '../fleet/backend_server.js';
+import {
+  hasProgress,
+  silentPaths,
+  type StreamProgress,
+} from '../relay/collective_silence.js';
 import {StreamRelay, type StreamRelayOptions} from '../relay/stream_relay.js';
 import type {ModelSpec, Route} from '../routing/routing_table.js';
 import {acceptRequest, type RoutingView} from './accept_request.js';
@@ -167,13 +172,19 @@
     admission.enqueue(item);
   }
 
+  /** Whether a stream through the server had an event just now. */
+  isProgressing(address: ServerAddress): boolean {
+    return hasProgress(this.progress(), address, this.options.nowMs());
+  }
+
+  private progress(): StreamProgress[] {
+    return [...this.streams].flatMap(({progress}) => progress ?? []);
+  }
+
   private examineSilentPaths(nowMs: number): void {
-    const progress: StreamProgress[] = [];
-    for (const stream of this.streams) {
-      if (stream.progress) progress.push(stream.progress);
-    }
     const {doctor} = this.options.streams;
-    for (const path of silentPaths(progress, nowMs)) doctor.probePath(path);
+    const silent = silentPaths(this.progress(), nowMs);
+    for (const path of silent) doctor.probePath(path);
   }
 
   private tick(): void {
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -18,6 +18,7 @@
   type ServerId,
 } from '@azurecrank/core';
 import type {ChainLoads} from '../admission/chain_loads.js';
+import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView, HeldLayers} from '../fleet/fleet_view.js';
 
 export interface EntryMeshOptions {
@@ -32,6 +33,8 @@
   /** The routing table as it is stored, with its version. */
   readonly heldTable: () => {readonly version: number; readonly text: string};
   readonly offerTable: (text: string) => void;
+  /** Whether a stream through the server had an event just now. */
+  readonly isProgressing: (address: ServerAddress) => boolean;
   /** A peer has found a server unusable that was usable here. */
   readonly onServerLost: () => void;
   readonly isStopping: () => boolean;
@@ -181,6 +184,8 @@
     }
     this.options.onLayoutFence(message.layoutFence);
     for (const address of message.suspected) {
+      // The link of the peer may be at fault.
+      if (this.options.isProgressing(address)) continue;
       if (!fleet.suspectAsTold(address, now)) continue;
       logger.info('server suspected', {peer: address, source: link.name});
       onServerLost();
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -125,6 +125,7 @@
         waiting: () => this.waiting(),
         heldTable: () => this.table.stored,
         offerTable: text => this.table.offer(text, 'peer'),
+        isProgressing: address => this.gateway.isProgressing(address),
         onServerLost: () => this.layout?.hurry(),
         isStopping: () => this.isStopping,
         onLayoutHandover: lease => this.layout?.adopt(lease),
@@ -153,6 +154,7 @@
       wasPaused: () => this.pauses.pausedWithin(OWN_PAUSE_MS),
       healthPathOf: service =>
         this.table.table?.services.get(service)?.healthPath ?? '/',
+      isProgressing: address => this.gateway.isProgressing(address),
       onServerLost: () => {
         this.mesh.share();
         this.layout?.hurry();
--- a/packages/forwarding/src/core/relay/collective_silence.ts
+++ b/packages/forwarding/src/core/relay/collective_silence.ts
@@ -10,6 +10,28 @@
   readonly path: ServerPath;
   /** Time of the last event, or of the last change of the path. */
   readonly sinceMs: number;
+  /** Time of the last event on this path; undefined before the first. */
+  readonly eventAtMs?: number | undefined;
+}
+
+/**
+ * A server that passed an event this recently lives, whatever probes say: their
+ * answers get lost on bad links. Streams that it serves send events every 30
+ * to 100 ms under load.
+ */
+const PROGRESS_MS = 250;
+
+/** Whether a stream that passes the server had an event just now. */
+export function hasProgress(
+  streams: Iterable<StreamProgress>,
+  address: ServerAddress,
+  nowMs: number,
+): boolean {
+  for (const {path, eventAtMs = -Infinity} of streams) {
+    if (nowMs - eventAtMs >= PROGRESS_MS) continue;
+    if (path.some(({server}) => server.address === address)) return true;
+  }
+  return false;
 }
 
 /**
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -1,4 +1,5 @@
 /** What follows when a stream has lost its server. Pure. */
+import type {Route} from '../routing/routing_table.js';
 
 export interface StreamState {
   readonly isResumable: boolean;
@@ -9,8 +10,10 @@
   readonly attempts: number;
   readonly leftMs: number;
   readonly mayRetry: boolean;
-  /** Time without an event; callers leave after some 2 s of it. */
+  /** Time without an event. */
   readonly silentMs: number;
+  /** Time without an event after which the caller leaves. */
+  readonly patienceMs: number;
 }
 
 export type StreamDecision =
@@ -27,8 +30,27 @@
 
 const MAX_ATTEMPTS = 6;
 
-/** A stream without an event for this time cannot be saved any more. */
-export const MAX_SILENCE_MS = 1700;
+/** Callers wait at least this long for an event (the users' protocol). */
+const LEAST_PATIENCE_MS = 2000;
+
+/** More patience of callers, in aims of their route (the users' protocol). */
+const PATIENCE_LATENCY_TARGETS = 4;
+const PATIENCE_PAUSE_TARGETS = 8;
+
+/**
+ * Time without an event after which a caller leaves. Until then a stream may
+ * still go on, late but whole.
+ */
+export function callerPatienceMs({
+  latencyTargetMs,
+  pauseTargetMs,
+}: Pick<Route, 'latencyTargetMs' | 'pauseTargetMs'>): number {
+  return Math.max(
+    LEAST_PATIENCE_MS,
+    PATIENCE_LATENCY_TARGETS * latencyTargetMs,
+    PATIENCE_PAUSE_TARGETS * pauseTargetMs,
+  );
+}
 
 /** With less time left no first event can come in time. */
 const LEAST_LEFT_MS = 100;
@@ -38,7 +60,7 @@
   const isAllowed =
     attempts < MAX_ATTEMPTS && leftMs >= LEAST_LEFT_MS && mayRetry;
   const isRepeatable = state.isResumable || !state.mayHaveRun;
-  const isInTime = !state.hasBegun || state.silentMs < MAX_SILENCE_MS;
+  const isInTime = !state.hasBegun || state.silentMs < state.patienceMs;
   if (isAllowed && isRepeatable && isInTime) {
     return state.hasBegun ? 'resume' : 'queue_again';
   }
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -17,6 +17,8 @@
   /** Whether this process itself did not run for a while just now. */
   readonly wasPaused: () => boolean;
   readonly healthPathOf: (service: ServiceId) => string;
+  /** Whether a stream through the server had an event just now. */
+  readonly isProgressing: (address: ServerAddress) => boolean;
   /** A server was found not to answer, or to refuse requests. */
   readonly onServerLost: () => void;
 }
@@ -65,6 +67,10 @@
   suspect(address: ServerAddress, cause: string): void {
     const {fleet, logger, onServerLost, wasPaused} = this.options;
     if (wasPaused() || !fleet.at(address)) return;
+    if (this.options.isProgressing(address)) {
+      logger.info('suspicion is not shared by events', {peer: address, cause});
+      return;
+    }
     if (!fleet.suspect(address)) return;
     logger.warn('server suspected', {peer: address, cause});
     onServerLost();
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -36,8 +36,8 @@
 } from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {
-  MAX_SILENCE_MS,
   allowedFirsts,
+  callerPatienceMs,
   decideStream,
   type StreamDecision,
 } from './decide_stream.js';
@@ -146,7 +146,9 @@
       !this.isOver && !this.isRepathing && this.firstEventAtMs !== undefined;
     if (!isSending || this.path.length === 0) return undefined;
     const sinceMs = Math.max(this.lastEventAtMs, this.movedAtMs);
-    return {path: this.path, sinceMs};
+    const hasMoved = this.movedAtMs >= this.lastEventAtMs;
+    const eventAtMs = hasMoved ? undefined : this.lastEventAtMs;
+    return {path: this.path, sinceMs, eventAtMs};
   }
 
   /** Ends the stream after an error of this program. */
@@ -195,7 +197,10 @@
   }
 
   private waitForRoom(nowMs: number): void {
-    if (nowMs - this.lastEventAtMs > MAX_SILENCE_MS) return this.stop('cut');
+    const silentMs = nowMs - this.lastEventAtMs;
+    if (silentMs > callerPatienceMs(this.accepted.route)) {
+      return this.stop('cut');
+    }
     // A chain that failed this stream before may serve it again by now.
     this.failedFirsts.clear();
     this.resume();
@@ -363,6 +368,7 @@
       leftMs: this.accepted.deadlineAtMs - now,
       mayRetry: budget.available(now) >= 1,
       silentMs: now - this.lastEventAtMs,
+      patienceMs: callerPatienceMs(this.accepted.route),
     });
     this.releaseMemory();
     this.path = [];
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -16,6 +16,15 @@
     layers,
   });
 
+  it('knows only the last of two servers at one address', () => {
+    const fleet = new FleetView();
+    const id = 'again' as BackendServer['server'];
+    fleet.put({...registered, server: id, bornAtMs: empty.bornAtMs + 1}, 0);
+    fleet.put(registered, 0);
+    expect(fleet.usable(SERVICE).map(({server}) => server)).toEqual([id]);
+    expect(fleet.at(registered.address)?.server).toEqual(id);
+  });
+
   describe('layers that a server reports', () => {
     it('count before its registration follows', () => {
       const fleet = new FleetView();
@@ -63,6 +72,16 @@
       expect(reloadingCells()).toEqual('none');
     });
 
+    it('show that the registered run has ended (restart at once)', () => {
+      const fleet = new FleetView();
+      fleet.put(registered, 0);
+      const again = {...held(0, OLD), bornAtMs: empty.bornAtMs + 1};
+      fleet.observe({...again, layers: undefined}, 100);
+      expect(fleet.usable(SERVICE)).toEqual([]);
+      fleet.put({...registered, bornAtMs: empty.bornAtMs + 1}, 200);
+      expect(fleet.usable(SERVICE).length).toEqual(1);
+    });
+
     it('are not told to peers if registrations tell them', () => {
       const fleet = new FleetView();
       fleet.put(registered, 0);
--- a/packages/forwarding/test/paths_test.ts
+++ b/packages/forwarding/test/paths_test.ts
@@ -1,5 +1,10 @@
 import {describe, it} from 'node:test';
-import {findChains, findPath, silentPaths} from '@azurecrank/forwarding';
+import {
+  findChains,
+  findPath,
+  hasProgress,
+  silentPaths,
+} from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {MODEL, laidOutFleet} from './fleet_fixture.js';
 
@@ -39,6 +44,22 @@
   });
 });
 
+describe('hasProgress', () => {
+  const [chain] = findChains(MODEL, laidOutFleet());
+  const last = chain.path[chain.path.length - 1].server.address;
+
+  it('sees events that passed a server just now', () => {
+    const stream = {path: chain.path, sinceMs: 900, eventAtMs: 900};
+    expect(hasProgress([stream], last, 1000)).toEqual(true);
+    expect(hasProgress([stream], last, 1200)).toEqual(false);
+  });
+
+  it('takes no event of an earlier path for one of this', () => {
+    const moved = {path: chain.path, sinceMs: 990, eventAtMs: undefined};
+    expect(hasProgress([moved], last, 1000)).toEqual(false);
+  });
+});
+
 describe('silentPaths', () => {
   const [chain, other] = findChains(MODEL, laidOutFleet());
 
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -75,6 +75,33 @@
       expect(new Set(firsts).size).toEqual(2);
     });
 
+    it('does not let a lost answer outweigh events (lossy links)', async () => {
+      const harness = new RelayHarness();
+      harness.begin();
+      harness.events(1);
+      const [chain] = harness.admission.currentChains();
+      const {address} = chain.path[0].server;
+      harness.isProgressing = true;
+      harness.doctor.suspect(address, 'no answer in time');
+      expect(harness.fleet.isSuspected(address)).toEqual(false);
+      harness.isProgressing = false;
+      harness.doctor.suspect(address, 'no answer in time');
+      expect(harness.fleet.isSuspected(address)).toEqual(true);
+    });
+
+    it('goes on as long as the caller waits (patient route)', async () => {
+      const harness = new RelayHarness({latencyTargetMs: 1000});
+      harness.begin();
+      harness.events(1);
+      harness.occupyChains();
+      harness.sent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+      await harness.pass(3500);
+      expect(harness.res.destroyed).toEqual(false);
+      harness.freeChains();
+      await harness.pass(100);
+      expect(harness.upstream.sent.length).toEqual(2);
+    });
+
     it('closes the channel of a stream that may not be resumed', () => {
       const harness = new RelayHarness({isResumable: false});
       harness.begin();
