Refuse at once what cannot be in time; let callers come back in turn

Cause: in a shortage every request was held for 0.85 of its latency target before it was refused, and all refused callers were told to come back after 2 s, in the middle of the same shortage. Ruled out: late first events after waiting (of streams that waited for up to 375 ms most were in time). Change: while requests wait, the entry knows what it admits in a second; a request whose wait would be 1.5 times what it may wait is refused at once. Refused callers get return times one after another, half as fast as requests are admitted, within the part of their time that they wait for. Tests: 'refuses at once what would wait too long', 'lets callers come back one after another, in their time' (before: all at the end of their wait and with the same time).

--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -16,13 +16,18 @@
 import {describePath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {ChainLoads} from './chain_loads.js';
+import {BusyRate} from './busy_rate.js';
 import {chooseAdmission} from './choose_admission.js';
+import {ReturnSchedule} from './return_schedule.js';
 
 export interface WaitingRequest extends QueuedItem {
   /** Called once with the chain on which the request has room. */
   readonly admit: (chain: ServerChain) => void;
-  /** Called once if the request will not be served; it has not run. */
-  readonly refuse: (reason: RefusalReason) => void;
+  /**
+   * Called once if the request will not be served; it has not run. The caller
+   * should come back after `retryAfterMs`.
+   */
+  readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
 }
 
 export interface ModelAdmissionOptions {
@@ -36,9 +41,19 @@
   readonly onChains: (chains: readonly ServerChain[]) => void;
 }
 
+/** A usual request: prompt and half of the answer on the users' sheets. */
+const USUAL_TOKENS = 860;
+
 /** Bounds the memory of waiting requests. */
 const MAX_WAITING = 400;
 
+/**
+ * A request is refused at once if it would wait this much longer than it may:
+ * callers that are told late have lost the time to go on otherwise. Below, the
+ * estimate is too rough to give up a request that may still be in time.
+ */
+const HOPELESS_FACTOR = 1.5;
+
 /** Bounds what one workspace may hold of the queue. */
 const MAX_WAITING_PER_WORKSPACE = 200;
 
@@ -47,6 +62,8 @@
     maxItems: MAX_WAITING,
     maxPerWorkspace: MAX_WAITING_PER_WORKSPACE,
   });
+  private readonly rate = new BusyRate();
+  private readonly returns = new ReturnSchedule();
   private chains: ServerChain[] = [];
   private chainsRevision = -1;
   private chainsModel: ModelSpec | undefined;
@@ -63,11 +80,46 @@
   }
 
   enqueue(request: WaitingRequest): void {
+    if (this.isHopeless(request)) {
+      return this.refuse(request, this.refusalReason());
+    }
     const {refused} = this.queue.enqueue(request);
-    for (const {item, reason} of refused) item.refuse(reason);
+    for (const {item, reason} of refused) this.refuse(item, reason);
     this.pump();
   }
 
+  /** Whether requests wait so long that this one cannot be in time. */
+  private isHopeless(request: WaitingRequest): boolean {
+    const nowMs = this.options.nowMs();
+    const rate = this.rate.rate(nowMs);
+    if (!rate || this.hasRoom(request.costTokens)) return false;
+    const tokens = this.queue.costAhead(request) + request.costTokens;
+    const waitMs = tokens / rate.tokensPerMs;
+    const mayWaitMs = request.firstTokenDeadlineAtMs - nowMs;
+    return waitMs > mayWaitMs * HOPELESS_FACTOR;
+  }
+
+  private hasRoom(tokens: number): boolean {
+    const {loads, nowMs} = this.options;
+    const now = nowMs();
+    return this.currentChains().some(chain =>
+      loads.hasRoom(chain, tokens, now),
+    );
+  }
+
+  private refusalReason(): RefusalReason {
+    return this.currentChains().length > 0
+      ? 'deadline_unreachable'
+      : 'no_chain';
+  }
+
+  private refuse(item: WaitingRequest, reason: RefusalReason): void {
+    const nowMs = this.options.nowMs();
+    const requestsPerMs = this.rate.rate(nowMs)?.requestsPerMs ?? 0;
+    const leftMs = item.deadlineAtMs - nowMs;
+    item.refuse(reason, this.returns.next(nowMs, leftMs, requestsPerMs));
+  }
+
   /** The servers had no room after all; the request has not run. */
   enqueueAgain(request: WaitingRequest): void {
     this.queue.settle(request, 0);
@@ -86,13 +138,17 @@
 
   /** Admits what has room and refuses what can no longer be in time. */
   pump(): void {
-    const {loads, availabilityZone, nowMs} = this.options;
-    const now = nowMs();
+    const now = this.options.nowMs();
     for (const item of this.queue.expire(now)) {
-      item.refuse(
-        this.currentChains().length ? 'deadline_unreachable' : 'no_chain',
-      );
+      this.refuse(item, this.refusalReason());
     }
+    this.admitWaiting(now);
+    if (this.queue.size > 0) this.rate.noteBusy(now);
+    else if (this.hasRoom(USUAL_TOKENS)) this.rate.noteRoom();
+  }
+
+  private admitWaiting(now: number): void {
+    const {loads, availabilityZone} = this.options;
     const chains = this.currentChains();
     if (chains.length === 0) return;
     for (;;) {
@@ -109,6 +165,7 @@
       );
       if (!chain) return;
       loads.take(chain.path[0].server.address, item.costTokens);
+      this.rate.noteAdmitted(item.costTokens, now);
       item.admit(chain);
     }
   }
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -162,7 +162,7 @@
       firstTokenDeadlineAtMs: nowMs + firstTokenWaitMs(route),
       enqueuedAtMs: nowMs,
       admit: chain => relay.start(chain),
-      refuse: reason => relay.refuse(reason),
+      refuse: (reason, afterMs) => relay.refuse(reason, afterMs),
     };
     const relay = new StreamRelay(exchange, accepted, item, model, admission, {
       ...this.options.streams,
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -133,10 +133,10 @@
   }
 
   /** The request will not be served; it has not run. */
-  refuse(reason: RefusalReason): void {
+  refuse(reason: RefusalReason, retryAfterMs: number): void {
     if (this.isOver) return;
     this.end();
-    const refusal = refuse(reason, 'queue');
+    const refusal = refuse(reason, 'queue', {retryAfterMs});
     this.options.refusals.refuse(this.exchange, refusal);
   }
 
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -14,6 +14,7 @@
   nowMs = 0;
   readonly admitted: string[] = [];
   readonly refused: string[] = [];
+  readonly returnsAtMs: number[] = [];
   readonly loads = new ChainLoads();
   readonly fleet = new FleetView();
   readonly admission = new ModelAdmission({
@@ -43,6 +44,19 @@
     this.loads.notePeer('peer', Object.fromEntries(used), this.nowMs);
   }
 
+  /** Room for one request appears and is taken. */
+  admitOne(): void {
+    const [{path, capacityTokens}] = this.chains();
+    const others = this.chains().slice(1);
+    const used = [
+      [path[0].server.address, capacityTokens * 0.85 - 1000],
+      ...others.map(c => [c.path[0].server.address, c.capacityTokens]),
+    ];
+    this.loads.release(path[0].server.address, Infinity);
+    this.loads.notePeer('peer', Object.fromEntries(used), this.nowMs);
+    this.admission.pump();
+  }
+
   ask(name: string, rank: WaitingRequest['rank'], workspace = 'w'): void {
     this.admission.enqueue({
       request: name as RequestId,
@@ -54,7 +68,10 @@
       firstTokenDeadlineAtMs: this.nowMs + 400,
       enqueuedAtMs: this.nowMs,
       admit: () => void this.admitted.push(name),
-      refuse: () => void this.refused.push(name),
+      refuse: (_, retryAfterMs) => {
+        this.refused.push(name);
+        this.returnsAtMs.push(this.nowMs + retryAfterMs);
+      },
     });
   }
 }
@@ -96,6 +113,56 @@
     expect(admission.refused).toEqual(['late']);
   });
 
+  describe('requests wait for room for a while (chains lost in a burst)', () => {
+    /** One request is admitted each 100 ms, and 20 arrive a second. */
+    function overload(durationMs: number): Admission {
+      const admission = new Admission();
+      const endMs = admission.nowMs + durationMs;
+      for (let i = 0; admission.nowMs < endMs; i++) {
+        admission.fill(1);
+        admission.ask(`r${i}`, 'urgent');
+        admission.nowMs += 50;
+        if (i % 2 === 0) admission.admitOne();
+      }
+      return admission;
+    }
+
+    it('refuses at once what would wait too long', () => {
+      const admission = overload(1000);
+      const before = admission.refused.length;
+      for (let i = 0; i < 20; i++) admission.ask(`more${i}`, 'urgent');
+      expect(admission.refused.length - before).toBeGreaterThan(10);
+    });
+
+    it('keeps what may still be in time', () => {
+      const admission = new Admission();
+      admission.fill(1);
+      admission.ask('a', 'urgent');
+      admission.nowMs = 100;
+      admission.fill(1);
+      admission.ask('b', 'urgent');
+      expect(admission.refused).toEqual([]);
+    });
+
+    it('admits at once when there is room again', () => {
+      const admission = overload(1000);
+      admission.fill(0);
+      admission.ask('after', 'urgent');
+      expect(admission.admitted).toInclude('after');
+    });
+
+    it('lets callers come back one after another, in their time', () => {
+      const admission = overload(1000);
+      const before = admission.returnsAtMs.length;
+      for (let i = 0; i < 30; i++) admission.ask(`more${i}`, 'urgent');
+      const returns = admission.returnsAtMs.slice(before);
+      const sorted = [...returns].sort((a, b) => a - b);
+      expect(returns).toEqual(sorted);
+      expect(returns[9] - returns[0]).toBeGreaterThan(1000);
+      expect(Math.max(...returns)).toBeLessThan(admission.nowMs + 20_000 / 3);
+    });
+  });
+
   it('gives nothing to a chain that has just refused for want of memory', () => {
     const admission = new Admission();
     const [full] = admission.chains();
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -277,7 +277,7 @@
       firstTokenDeadlineAtMs: this.nowMs + 400,
       enqueuedAtMs: this.nowMs,
       admit: chain => this.relay.start(chain),
-      refuse: reason => this.relay.refuse(reason),
+      refuse: reason => this.relay.refuse(reason, 1000),
     };
     this.relay = new StreamRelay(
       exchange,
