Count events since the question was asked; end streams before callers leave

Callers that leave by themselves do not come back, those whose channel is closed do. Change: an event that came after a server was asked shows that it lives; for what peers say, events of the last 120 ms.

--- a/packages/azurecrank/src/core/gateway/chat_request.ts
+++ b/packages/azurecrank/src/core/gateway/chat_request.ts
@@ -1,5 +1,5 @@
 /** Checks the body of `POST /v1/chat/completions`. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {findUnsupported} from './unsupported_fields.js';
 
 const contentPart = z.union([
--- a/packages/core/src/core/claims/claim_page.ts
+++ b/packages/core/src/core/claims/claim_page.ts
@@ -3,7 +3,7 @@
  * whole by compare-and-swap. Pages are immutable; times are wall-clock
  * milliseconds, because several hosts read them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {InstanceId} from '../ids/ids.js';
 import {
   mayBeRunning,
--- a/packages/core/src/core/settings/process_settings.ts
+++ b/packages/core/src/core/settings/process_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the two kinds of processes, with units and defaults. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {SilenceOptions} from '../detection/silence_detector.js';
 
 const port = z.number().int().min(0).max(65535);
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -172,9 +172,9 @@
     admission.enqueue(item);
   }
 
-  /** Whether a stream through the server had an event just now. */
-  isProgressing(address: ServerAddress): boolean {
-    return hasProgress(this.progress(), address, this.options.nowMs());
+  /** Whether a stream through the server had an event since then. */
+  hasProgress(address: ServerAddress, sinceMs: number): boolean {
+    return hasProgress(this.progress(), address, sinceMs);
   }
 
   private progress(): StreamProgress[] {
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -33,8 +33,8 @@
   /** The routing table as it is stored, with its version. */
   readonly heldTable: () => {readonly version: number; readonly text: string};
   readonly offerTable: (text: string) => void;
-  /** Whether a stream through the server had an event just now. */
-  readonly isProgressing: (address: ServerAddress) => boolean;
+  /** Whether a stream through the server had an event since then. */
+  readonly hasProgress: (address: ServerAddress, sinceMs: number) => boolean;
   /** A peer has found a server unusable that was usable here. */
   readonly onServerLost: () => void;
   readonly isStopping: () => boolean;
@@ -49,6 +49,12 @@
 /** A peer that told its shares within this time is there. */
 const PEER_FRESH_MS = 600;
 
+/**
+ * A suspicion of a peer does not count while streams through the server have
+ * events. Together they have one every few milliseconds.
+ */
+const PROGRESS_MS = 120;
+
 /** A table is asked for again after this time, from whoever has it. */
 const FETCH_TIMEOUT_MS = 500;
 
@@ -163,7 +169,8 @@
   }
 
   private takeShares(message: EntryShares, link: PeerLink): void {
-    const {loads, fleet, nowMs, onServerLost, logger} = this.options;
+    const {loads, fleet, nowMs, onServerLost, logger, hasProgress} =
+      this.options;
     const now = nowMs();
     loads.notePeer(link.name, message.usedTokens, now);
     this.peersSeen.set(link.name, {atMs: now, isStopping: message.isStopping});
@@ -185,7 +192,7 @@
     this.options.onLayoutFence(message.layoutFence);
     for (const address of message.suspected) {
       // The link of the peer may be at fault.
-      if (this.options.isProgressing(address)) continue;
+      if (hasProgress(address, now - PROGRESS_MS)) continue;
       if (!fleet.suspectAsTold(address, now)) continue;
       logger.info('server suspected', {peer: address, source: link.name});
       onServerLost();
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -125,7 +125,8 @@
         waiting: () => this.waiting(),
         heldTable: () => this.table.stored,
         offerTable: text => this.table.offer(text, 'peer'),
-        isProgressing: address => this.gateway.isProgressing(address),
+        hasProgress: (address, sinceMs) =>
+          this.gateway.hasProgress(address, sinceMs),
         onServerLost: () => this.layout?.hurry(),
         isStopping: () => this.isStopping,
         onLayoutHandover: lease => this.layout?.adopt(lease),
@@ -154,7 +155,8 @@
       wasPaused: () => this.pauses.pausedWithin(OWN_PAUSE_MS),
       healthPathOf: service =>
         this.table.table?.services.get(service)?.healthPath ?? '/',
-      isProgressing: address => this.gateway.isProgressing(address),
+      hasProgress: (address, sinceMs) =>
+        this.gateway.hasProgress(address, sinceMs),
       onServerLost: () => {
         this.mesh.share();
         this.layout?.hurry();
--- a/packages/forwarding/src/core/process/forwarding_settings.ts
+++ b/packages/forwarding/src/core/process/forwarding_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the forwarding entry, with units and defaults. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const port = z.number().int().min(1).max(65535);
 const address = z.string().regex(/^.+:\d+$/);
--- a/packages/forwarding/src/core/relay/collective_silence.ts
+++ b/packages/forwarding/src/core/relay/collective_silence.ts
@@ -15,20 +15,16 @@
 }
 
 /**
- * A server that passed an event this recently lives, whatever probes say: their
- * answers get lost on bad links. Streams that it serves send events every 30
- * to 100 ms under load.
+ * Whether a stream that passes the server had an event since then. Such a
+ * server lives, whatever probes say: their answers get lost on bad links.
  */
-const PROGRESS_MS = 250;
-
-/** Whether a stream that passes the server had an event just now. */
 export function hasProgress(
   streams: Iterable<StreamProgress>,
   address: ServerAddress,
-  nowMs: number,
+  sinceMs: number,
 ): boolean {
   for (const {path, eventAtMs = -Infinity} of streams) {
-    if (nowMs - eventAtMs >= PROGRESS_MS) continue;
+    if (eventAtMs < sinceMs) continue;
     if (path.some(({server}) => server.address === address)) return true;
   }
   return false;
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -37,19 +37,24 @@
 const PATIENCE_LATENCY_TARGETS = 4;
 const PATIENCE_PAUSE_TARGETS = 8;
 
+/** Time for the end of the answer to reach the caller. */
+const PATIENCE_MARGIN_MS = 150;
+
 /**
- * Time without an event after which a caller leaves. Until then a stream may
- * still go on, late but whole.
+ * Time without an event up to which a stream may still go on, late but whole.
+ * It ends shortly before the caller leaves: a caller whose channel is closed
+ * may come back for the rest, one that has left does not.
  */
 export function callerPatienceMs({
   latencyTargetMs,
   pauseTargetMs,
 }: Pick<Route, 'latencyTargetMs' | 'pauseTargetMs'>): number {
-  return Math.max(
+  const patienceMs = Math.max(
     LEAST_PATIENCE_MS,
     PATIENCE_LATENCY_TARGETS * latencyTargetMs,
     PATIENCE_PAUSE_TARGETS * pauseTargetMs,
   );
+  return patienceMs - PATIENCE_MARGIN_MS;
 }
 
 /** With less time left no first event can come in time. */
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -17,8 +17,8 @@
   /** Whether this process itself did not run for a while just now. */
   readonly wasPaused: () => boolean;
   readonly healthPathOf: (service: ServiceId) => string;
-  /** Whether a stream through the server had an event just now. */
-  readonly isProgressing: (address: ServerAddress) => boolean;
+  /** Whether a stream through the server had an event since then. */
+  readonly hasProgress: (address: ServerAddress, sinceMs: number) => boolean;
   /** A server was found not to answer, or to refuse requests. */
   readonly onServerLost: () => void;
 }
@@ -35,6 +35,9 @@
 /** Least time between probes of the same path. */
 const PATH_PROBE_PERIOD_MS = 400;
 
+/** Requests that wait for a server had no event for at least this time. */
+const STALLED_MS = 100;
+
 /** Period of probes to suspected servers. */
 export const PROBE_PERIOD_MS = 1000;
 
@@ -63,11 +66,15 @@
     if (this.mayAsk(address)) void this.ask(address);
   }
 
-  /** Records a server that gave no answer. */
-  suspect(address: ServerAddress, cause: string): void {
+  /**
+   * Records a server that gave no answer.
+   * @param askedAtMs when it was asked: events that came since then show that
+   *     it lives, and only the answer was lost
+   */
+  suspect(address: ServerAddress, cause: string, askedAtMs: number): void {
     const {fleet, logger, onServerLost, wasPaused} = this.options;
     if (wasPaused() || !fleet.at(address)) return;
-    if (this.options.isProgressing(address)) {
+    if (this.options.hasProgress(address, askedAtMs)) {
       logger.info('suspicion is not shared by events', {peer: address, cause});
       return;
     }
@@ -136,6 +143,7 @@
       return;
     }
     const path = healthPathOf(server.service);
+    const askedAtMs = this.options.nowMs();
     const health = await control.health(address, path, REPORT_TIMEOUT_MS);
     switch (health) {
       case 'unhealthy':
@@ -148,7 +156,7 @@
         }
         return void this.ask(address);
       case 'silent':
-        return this.suspect(address, 'no answer about its health');
+        return this.suspect(address, 'no answer about its health', askedAtMs);
       default:
         return;
     }
@@ -177,20 +185,22 @@
     address: ServerAddress,
     timeoutMs = REPORT_TIMEOUT_MS,
   ): Promise<void> {
-    const {control, logger} = this.options;
+    const {control, logger, nowMs} = this.options;
+    const askedAtMs = nowMs();
     try {
       const report = await control.report(address, timeoutMs);
       this.observe(address, report);
       const silent = new Set(report.stalled.map(stalled => stalled.address));
       for (const other of silent) {
-        this.suspect(other, `requests at ${address} wait for it`);
+        const cause = `requests at ${address} wait for it`;
+        this.suspect(other, cause, askedAtMs - STALLED_MS);
       }
       if (silent.size > 0) return;
       const {isBusy, pace, layers, reloadingCells} = report;
       const fields = {isBusy, pace, ...layers, reloadingCells};
       logger.debug('silent server answers', {peer: address, ...fields});
     } catch (error) {
-      this.suspect(address, String(error));
+      this.suspect(address, String(error), askedAtMs);
     }
   }
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -344,7 +344,7 @@
     const first = this.path[0].server.address;
     this.lastCause = cause;
     if (mayHaveRun) this.mayHaveRun = true;
-    else this.options.doctor.suspect(first, cause);
+    else this.options.doctor.suspect(first, cause, this.sentAtMs);
     this.decide(first, false);
   }
 
--- a/packages/forwarding/test/paths_test.ts
+++ b/packages/forwarding/test/paths_test.ts
@@ -48,15 +48,15 @@
   const [chain] = findChains(MODEL, laidOutFleet());
   const last = chain.path[chain.path.length - 1].server.address;
 
-  it('sees events that passed a server just now', () => {
+  it('sees events that passed a server since then', () => {
     const stream = {path: chain.path, sinceMs: 900, eventAtMs: 900};
-    expect(hasProgress([stream], last, 1000)).toEqual(true);
-    expect(hasProgress([stream], last, 1200)).toEqual(false);
+    expect(hasProgress([stream], last, 850)).toEqual(true);
+    expect(hasProgress([stream], last, 950)).toEqual(false);
   });
 
   it('takes no event of an earlier path for one of this', () => {
     const moved = {path: chain.path, sinceMs: 990, eventAtMs: undefined};
-    expect(hasProgress([moved], last, 1000)).toEqual(false);
+    expect(hasProgress([moved], last, 900)).toEqual(false);
   });
 });
 
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -208,7 +208,8 @@
   readonly admission: ModelAdmission;
   readonly relay: StreamRelay;
   readonly doctor: PathDoctor;
-  isProgressing = false;
+  /** Last event of any stream through any server. */
+  progressAtMs = -Infinity;
 
   constructor(route: Partial<Route> = {}) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
@@ -231,7 +232,7 @@
       nowMs,
       wasPaused: () => false,
       healthPathOf: () => '/health',
-      isProgressing: () => this.isProgressing,
+      hasProgress: (_, sinceMs) => this.progressAtMs >= sinceMs,
       onServerLost: () => {},
     });
     const req = {
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -81,11 +81,10 @@
       harness.events(1);
       const [chain] = harness.admission.currentChains();
       const {address} = chain.path[0].server;
-      harness.isProgressing = true;
-      harness.doctor.suspect(address, 'no answer in time');
+      harness.progressAtMs = 1200;
+      harness.doctor.suspect(address, 'no answer in time', 1100);
       expect(harness.fleet.isSuspected(address)).toEqual(false);
-      harness.isProgressing = false;
-      harness.doctor.suspect(address, 'no answer in time');
+      harness.doctor.suspect(address, 'refuses connections', 1300);
       expect(harness.fleet.isSuspected(address)).toEqual(true);
     });
 
