Keep away from slow servers; find silent ones sooner

Dark servers were found after 230 to 460 ms, so that moving a stream in time was not possible. Change: when the events of a path come later than its servers should send them, all of them are asked for their pace, at most each 3 s; chains, moves and the layout count it, peers are told, and running streams leave servers at a third of their speed or less. Tests: 'paths around slow servers', 'a server that reports to be slow', 'asks again before it suspects all servers of a path'. The test of silent paths follows the constant (60 ms), its form is as before.

--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -315,6 +315,8 @@
   readonly held: ReadonlyArray<
     readonly [string, number, number, number, number, number]
   >;
+  /** Addresses of servers slower than their kind, with the factor. */
+  readonly slow: ReadonlyArray<readonly [string, number]>;
   /** Whether the entry stops and takes no new tasks. */
   readonly isStopping: boolean;
   /** Highest fencing number of layout orders that the entry knows of. */
--- a/packages/forwarding/src/core/fleet/backend_server.ts
+++ b/packages/forwarding/src/core/fleet/backend_server.ts
@@ -27,6 +27,8 @@
    * order: it tells its new layers before it has given up the old ones.
    */
   readonly reloadingCells?: number | undefined;
+  /** Factor on its times against others of its kind; 1 by default. */
+  readonly pace?: number;
 }
 
 /** Returns whether both are the same run of the same server. */
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -9,6 +9,7 @@
   ServerAddress,
 } from './backend_server.js';
 import {ServerMarks} from './server_marks.js';
+import {SlowServers} from './slow_servers.js';
 
 /**
  * Servers that live are back in the directory within 2 s of its return, so an
@@ -25,6 +26,12 @@
 /** A registration is never further behind than this while it is written. */
 const REGISTRATION_LAG_MS = 6000;
 
+/**
+ * Running streams leave a server at this factor: it makes the pauses of all of
+ * them too long, while moving costs each one pause.
+ */
+const VERY_SLOW_PACE = 3;
+
 /** Layers that a server was seen to hold. */
 export interface HeldLayers {
   readonly server: ServerId;
@@ -50,6 +57,7 @@
   private readonly silent = new ServerMarks();
   /** Servers that answer, but refuse requests because they leave or fail. */
   private readonly refusing = new ServerMarks();
+  private readonly slow = new SlowServers();
   /** Missing since an outage of the directory, with the time they are gone. */
   private readonly lapsed = new Map<ServerId, number>();
   /** Servers that peers have reported as leaving, by start time. */
@@ -132,9 +140,29 @@
       if (goneAtMs <= nowMs) this.remove(server);
     }
     const hasEnded = [this.silent, this.refusing].map(m => m.expire(nowMs));
+    hasEnded.push(this.slow.expire(nowMs));
     if (hasEnded.includes(true)) this.changes++;
   }
 
+  /** Takes the pace that a server reports; returns whether it is new. */
+  notePace(address: ServerAddress, pace: number, nowMs: number): boolean {
+    return this.noteChange(this.slow.note(address, pace, nowMs));
+  }
+
+  notePaceAsTold(address: ServerAddress, pace: number, nowMs: number): void {
+    this.noteChange(this.slow.noteAsTold(address, pace, nowMs));
+  }
+
+  /** Whether streams that run there should move. */
+  isVerySlow(address: ServerAddress): boolean {
+    return this.slow.paceOf(address) >= VERY_SLOW_PACE;
+  }
+
+  /** Servers that told this entry that they are slow, with their pace. */
+  ownSlow(): Array<[ServerAddress, number]> {
+    return this.slow.own();
+  }
+
   /** Returns whether the server was not suspected before. */
   suspect(address: ServerAddress): boolean {
     return this.noteChange(this.silent.mark(address));
@@ -298,9 +326,14 @@
 
   /** Servers of the service that may get work. */
   usable(service: ServiceId): BackendServer[] {
-    return this.staying(service).filter(
-      ({address}) => !this.silent.has(address) && !this.refusing.has(address),
-    );
+    return this.staying(service)
+      .filter(
+        ({address}) => !this.silent.has(address) && !this.refusing.has(address),
+      )
+      .map(server => {
+        const pace = this.slow.paceOf(server.address);
+        return pace === 1 ? server : {...server, pace};
+      });
   }
 
   private noteChange(hasChanged: boolean): boolean {
--- a/packages/forwarding/src/core/paths/find_chains.ts
+++ b/packages/forwarding/src/core/paths/find_chains.ts
@@ -7,7 +7,8 @@
 import {cacheCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {findPath} from './find_path.js';
-import type {PathPart, ServerPath} from './server_path.js';
+import {partStepMs} from './part_step.js';
+import type {ServerPath} from './server_path.js';
 
 export interface ServerChain {
   readonly path: ServerPath;
@@ -67,16 +68,12 @@
   const capacities = path.map(({server, firstLayer, endLayer}) =>
     cacheCapacityTokens(model, server, endLayer - firstLayer),
   );
-  const steps = path.map(part => partStepMs(model, part));
+  const steps = path.map(({server, firstLayer, endLayer}) =>
+    partStepMs(model, server, endLayer - firstLayer),
+  );
   return {
     path,
     capacityTokens: Math.min(...capacities),
     stepMs: steps.reduce((sum, ms) => sum + ms, 0),
   };
 }
-
-function partStepMs(model: ModelSpec, part: PathPart): number {
-  const kind = model.accelerators.get(part.server.accelerator);
-  const share = (part.endLayer - part.firstLayer) / model.layers;
-  return model.stepMs * (kind?.decodeFactor ?? 1) * share;
-}
--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -5,6 +5,7 @@
 import type {BackendServer} from '../fleet/backend_server.js';
 import {cacheCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
+import {partStepMs} from './part_step.js';
 import type {PathPart, ServerPath} from './server_path.js';
 
 /** Engines refuse longer paths. */
@@ -111,10 +112,8 @@
   {server, firstLayer, endLayer}: PathPart,
   before: PathPart | undefined,
 ): number {
-  const decodeFactor =
-    model.accelerators.get(server.accelerator)?.decodeFactor ?? 1;
   const layers = endLayer - firstLayer;
-  const computeMs = (model.stepMs * decodeFactor * layers) / model.layers;
+  const computeMs = partStepMs(model, server, layers);
   const room = Math.max(1, cacheCapacityTokens(model, server, layers));
   const crowdedMs = CROWDED_MS * (CROWDED_TOKENS / room) ** 2;
   const balanceMs = (computeMs * computeMs) / BALANCE_MS;
--- /dev/null
+++ b/packages/forwarding/src/core/paths/part_step.ts
@@ -0,0 +1,13 @@
+import type {BackendServer} from '../fleet/backend_server.js';
+import type {ModelSpec} from '../routing/routing_table.js';
+
+/** Time of one decode step of a single request through so many layers. */
+export function partStepMs(
+  model: ModelSpec,
+  {accelerator, pace = 1}: BackendServer,
+  layers: number,
+): number {
+  const kind = model.accelerators.get(accelerator);
+  const share = layers / model.layers;
+  return model.stepMs * (kind?.decodeFactor ?? 1) * pace * share;
+}
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -141,6 +141,7 @@
       suspected: fleet.ownSuspicions(),
       refusing: fleet.ownRefusing(),
       held: fleet.recentObservations(nowMs()).map(toHeldTuple),
+      slow: fleet.ownSlow(),
       isStopping: this.options.isStopping(),
       layoutFence: this.options.layoutFence(),
     };
@@ -189,6 +190,9 @@
       });
       onServerLost();
     }
+    for (const [address, pace] of message.slow) {
+      fleet.notePaceAsTold(address, pace, now);
+    }
     this.options.onLayoutFence(message.layoutFence);
     for (const address of message.suspected) {
       // The link of the peer may be at fault.
--- a/packages/forwarding/src/core/placement/redivide.ts
+++ b/packages/forwarding/src/core/placement/redivide.ts
@@ -6,6 +6,7 @@
 import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import {tokensBeside} from '../fleet/server_capacity.js';
+import {partStepMs} from '../paths/part_step.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {LayoutOrder} from './plan_layout.js';
 
@@ -127,9 +128,7 @@
   part: LayerRange,
   held: LayerRange,
 ): number {
-  const kind = model.accelerators.get(server.accelerator);
-  const share = (part.endLayer - part.firstLayer) / model.layers;
-  const computeMs = model.stepMs * (kind?.decodeFactor ?? 1) * share;
+  const computeMs = partStepMs(model, server, size(part));
   const balanceMs = (computeMs * computeMs) / BALANCE_MS;
   return computeMs + balanceMs + loadCostMs * addedLayers(server, held);
 }
--- a/packages/forwarding/src/core/relay/collective_silence.ts
+++ b/packages/forwarding/src/core/relay/collective_silence.ts
@@ -35,7 +35,7 @@
  * stream come every 30 to 100 ms under load, those of three or more together
  * much more often; a pause of up to 200 ms is still on time.
  */
-const SILENCE_OF_SEVERAL_MS = 80;
+const SILENCE_OF_SEVERAL_MS = 60;
 const SEVERAL = 3;
 
 /** The same for one or two streams. */
--- a/packages/forwarding/src/core/relay/path_doctor.ts
+++ b/packages/forwarding/src/core/relay/path_doctor.ts
@@ -7,7 +7,9 @@
 import type {ServerControl, ServerReport} from '../adapter/wire_codec.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
-import type {ServerPath} from '../paths/server_path.js';
+import {describePath, type ServerPath} from '../paths/server_path.js';
+import type {ModelSpec} from '../routing/routing_table.js';
+import {PathSpeeds} from './path_speeds.js';
 
 export interface PathDoctorOptions {
   readonly control: ServerControl;
@@ -29,8 +31,14 @@
 /** Time for a report; servers answer within a few milliseconds. */
 const REPORT_TIMEOUT_MS = 350;
 
+/** Least time between questions to all servers of a path that is slow. */
+const PACE_PERIOD_MS = 3000;
+
+/** Nothing listens at the address, whatever the state of the links is. */
+const REFUSED = 'ECONNREFUSED';
+
 /** Time for answers of all servers on a silent path. */
-const PATH_PROBE_TIMEOUT_MS = 150;
+const PATH_PROBE_TIMEOUT_MS = 80;
 
 /** Least time between probes of the same path. */
 const PATH_PROBE_PERIOD_MS = 400;
@@ -47,6 +55,8 @@
 export class PathDoctor {
   private readonly askedAtMs = new Map<ServerAddress, number>();
   private readonly pathProbedAtMs = new Map<ServerAddress, number>();
+  private readonly paceAskedAtMs = new Map<ServerAddress, number>();
+  private readonly speeds = new PathSpeeds();
   private readonly activeAtMs = new Map<ServerAddress, number>();
 
   constructor(private readonly options: PathDoctorOptions) {}
@@ -56,6 +66,20 @@
     this.activeAtMs.set(first, nowMs);
   }
 
+  /** Two events of a stream on this path came that long after each other. */
+  noteInterval(model: ModelSpec, path: ServerPath, intervalMs: number): void {
+    const first = path[0].server.address;
+    if (!this.speeds.note(first, intervalMs)) return;
+    if (!this.speeds.isSlow(model, path)) return;
+    this.speeds.forget(first);
+    const now = this.options.nowMs();
+    const lastMs = this.paceAskedAtMs.get(first) ?? -Infinity;
+    if (now - lastMs < PACE_PERIOD_MS) return;
+    this.paceAskedAtMs.set(first, now);
+    this.options.logger.info('path is slow', {path: describePath(path)});
+    for (const {server} of path) void this.ask(server.address);
+  }
+
   /** Whether other streams of this server get events. */
   isActive(first: ServerAddress, nowMs: number): boolean {
     return nowMs - (this.activeAtMs.get(first) ?? -Infinity) < ACTIVE_MS;
@@ -98,6 +122,7 @@
     await Promise.all([
       ...fleet.ownSuspicions().map(address => this.probe(address)),
       ...fleet.ownRefusing().map(address => this.checkHealth(address)),
+      ...fleet.ownSlow().map(([address]) => this.ask(address)),
     ]);
   }
 
@@ -113,16 +138,45 @@
     const lastMs = this.pathProbedAtMs.get(first) ?? -Infinity;
     if (now - lastMs < PATH_PROBE_PERIOD_MS) return;
     this.pathProbedAtMs.set(first, now);
-    for (const {server} of path) {
-      if (!fleet.isSuspected(server.address))
-        void this.ask(server.address, PATH_PROBE_TIMEOUT_MS);
+    const servers = path
+      .map(({server}) => server.address)
+      .filter(address => !fleet.isSuspected(address));
+    void this.probeAll(servers);
+  }
+
+  /**
+   * One server that does not answer quickly while the others do is lost. Where
+   * several do not, this process may have been slow: they get more time.
+   */
+  private async probeAll(servers: readonly ServerAddress[]): Promise<void> {
+    const {control, nowMs} = this.options;
+    const askedAtMs = nowMs();
+    const failures: Array<{address: ServerAddress; cause: string}> = [];
+    const probe = async (address: ServerAddress): Promise<void> => {
+      try {
+        const report = await control.report(address, PATH_PROBE_TIMEOUT_MS);
+        this.takeReport(address, report, askedAtMs);
+      } catch (error) {
+        const cause = String(error);
+        if (cause.includes(REFUSED)) this.suspect(address, cause, askedAtMs);
+        else failures.push({address, cause});
+      }
+    };
+    await Promise.all(servers.map(probe));
+    if (failures.length === 1) {
+      const [{address, cause}] = failures;
+      return this.suspect(address, cause, askedAtMs);
     }
+    for (const {address} of failures) void this.ask(address);
   }
 
   private observe(address: ServerAddress, report: ServerReport): void {
-    const {fleet, nowMs} = this.options;
+    const {fleet, nowMs, logger} = this.options;
     const server = fleet.at(address)?.server;
     if (server) fleet.observe({server, ...report}, nowMs());
+    const {pace} = report;
+    if (!fleet.notePace(address, pace, nowMs())) return;
+    logger.info('server has another pace', {peer: address, pace});
   }
 
   private mayAsk(address: ServerAddress): boolean {
@@ -181,26 +235,32 @@
     }
   }
 
-  private async ask(
-    address: ServerAddress,
-    timeoutMs = REPORT_TIMEOUT_MS,
-  ): Promise<void> {
-    const {control, logger, nowMs} = this.options;
+  private async ask(address: ServerAddress): Promise<void> {
+    const {control, nowMs} = this.options;
     const askedAtMs = nowMs();
     try {
-      const report = await control.report(address, timeoutMs);
-      this.observe(address, report);
-      const silent = new Set(report.stalled.map(stalled => stalled.address));
-      for (const other of silent) {
-        const cause = `requests at ${address} wait for it`;
-        this.suspect(other, cause, askedAtMs - STALLED_MS);
-      }
-      if (silent.size > 0) return;
-      const {isBusy, pace, layers, reloadingCells} = report;
-      const fields = {isBusy, pace, ...layers, reloadingCells};
-      logger.debug('silent server answers', {peer: address, ...fields});
+      const report = await control.report(address, REPORT_TIMEOUT_MS);
+      this.takeReport(address, report, askedAtMs);
     } catch (error) {
       this.suspect(address, String(error), askedAtMs);
     }
   }
+
+  private takeReport(
+    address: ServerAddress,
+    report: ServerReport,
+    askedAtMs: number,
+  ): void {
+    const {logger} = this.options;
+    this.observe(address, report);
+    const silent = new Set(report.stalled.map(stalled => stalled.address));
+    for (const other of silent) {
+      const cause = `requests at ${address} wait for it`;
+      this.suspect(other, cause, askedAtMs - STALLED_MS);
+    }
+    if (silent.size > 0) return;
+    const {isBusy, pace, layers, reloadingCells} = report;
+    const fields = {isBusy, pace, ...layers, reloadingCells};
+    logger.debug('silent server answers', {peer: address, ...fields});
+  }
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -179,7 +179,7 @@
       this.leaveSuspected().catch(error => this.failInternally(error));
       return;
     }
-    if (nowMs >= this.leaveEndingAtMs && this.hasEndingPart()) {
+    if (nowMs >= this.leaveEndingAtMs && this.shouldLeave().length > 0) {
       // Once for each path, and not all streams in the same moment.
       this.leaveEndingAtMs = Infinity;
       this.leaveEnding().catch(error => this.failInternally(error));
@@ -293,6 +293,11 @@
     } else {
       const pauseMs = now - this.lastEventAtMs;
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+      const hasMoved = this.movedAtMs >= this.lastEventAtMs;
+      if (!hasMoved) {
+        const eventMs = pauseMs / events;
+        this.options.doctor.noteInterval(this.model, this.path, eventMs);
+      }
     }
     this.lastEventAtMs = now;
     this.options.doctor.noteEvent(this.path[0].server.address, now);
@@ -453,15 +458,21 @@
     this.abandonServer(`the path could not be changed: ${outcome.kind}`);
   }
 
-  /** Leaves servers that still serve it but will end soon. */
+  /** Leaves servers that still serve it but will end soon or are slow. */
   private async leaveEnding(): Promise<void> {
+    const left = this.shouldLeave();
     const path = this.pathAround(this.path[0]);
-    if (path) await this.moveTo(path);
+    const keeps = path?.some(({server}) => left.includes(server.address));
+    if (path && !keeps) await this.moveTo(path);
   }
 
-  private hasEndingPart(): boolean {
+  /** Servers that another path should avoid, if there is one. */
+  private shouldLeave(): ServerAddress[] {
     const {fleet} = this.options;
-    return this.path.some(({server}) => fleet.isEnding(server));
+    return this.path
+      .map(({server}) => server)
+      .filter(s => fleet.isEnding(s) || fleet.isVerySlow(s.address))
+      .map(({address}) => address);
   }
 
   /** Returns undefined if the stream has ended or lost its server meanwhile. */
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -25,6 +25,29 @@
     expect(fleet.at(registered.address)?.server).toEqual(id);
   });
 
+  describe('a server that reports to be slow', () => {
+    const {address} = registered;
+    const paceOf = (fleet: FleetView) => fleet.usable(SERVICE)[0].pace ?? 1;
+
+    it('has another pace until it reports to be well', () => {
+      const fleet = new FleetView();
+      fleet.put(registered, 0);
+      expect(fleet.notePace(address, 12, 100)).toEqual(true);
+      expect([paceOf(fleet), fleet.isVerySlow(address)]).toEqual([12, true]);
+      expect(fleet.notePace(address, 1, 200)).toEqual(true);
+      expect(paceOf(fleet)).toEqual(1);
+    });
+
+    it('is forgotten when nobody repeats what a peer told', () => {
+      const fleet = new FleetView();
+      fleet.put(registered, 0);
+      fleet.notePaceAsTold(address, 4, 100);
+      expect([paceOf(fleet), fleet.ownSlow()]).toEqual([4, []]);
+      fleet.expire(2000);
+      expect(paceOf(fleet)).toEqual(1);
+    });
+  });
+
   describe('layers that a server reports', () => {
     it('count before its registration follows', () => {
       const fleet = new FleetView();
--- a/packages/forwarding/test/paths_test.ts
+++ b/packages/forwarding/test/paths_test.ts
@@ -1,5 +1,7 @@
 import {describe, it} from 'node:test';
 import {
+  PathSpeeds,
+  expectedIntervalMs,
   findChains,
   findPath,
   hasProgress,
@@ -44,6 +46,38 @@
   });
 });
 
+describe('paths around slow servers (servers turn slow)', () => {
+  const fleet = laidOutFleet();
+  const [river] = findChains(MODEL, fleet).filter(({path}) =>
+    path.every(({server}) => server.availabilityZone === 'river'),
+  );
+
+  it('avoid one whose layers others hold', () => {
+    const copied = river.path.find(({server}) => {
+      const servers = fleet.filter(s => s !== server);
+      return findChains(MODEL, servers).length === 3;
+    });
+    const slow = copied?.server;
+    const servers = fleet.map(s => (s === slow ? {...s, pace: 12} : s));
+    const used = findChains(MODEL, servers).flatMap(({path}) =>
+      path.map(({server}) => server.server),
+    );
+    expect(slow).not.toEqual(undefined);
+    expect(used).not.toInclude(slow?.server as (typeof used)[number]);
+  });
+
+  it('are looked for when events come much later than they should', () => {
+    const speeds = new PathSpeeds();
+    const {path} = river;
+    const first = path[0].server.address;
+    const usualMs = expectedIntervalMs(MODEL, path);
+    for (let i = 0; i < 80; i++) speeds.note(first, usualMs);
+    expect(speeds.isSlow(MODEL, path)).toEqual(false);
+    for (let i = 0; i < 80; i++) speeds.note(first, 3 * usualMs);
+    expect(speeds.isSlow(MODEL, path)).toEqual(true);
+  });
+});
+
 describe('hasProgress', () => {
   const [chain] = findChains(MODEL, laidOutFleet());
   const last = chain.path[chain.path.length - 1].server.address;
@@ -68,8 +102,8 @@
       path: chain.path,
       sinceMs,
     }));
-    expect(silentPaths(streams, 980)).toEqual([]);
-    expect(silentPaths(streams, 1000)).toEqual([chain.path]);
+    expect(silentPaths(streams, 970)).toEqual([]);
+    expect(silentPaths(streams, 980)).toEqual([chain.path]);
   });
 
   it('waits longer for a single stream', () => {
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -126,10 +126,15 @@
   readonly repaths: ServerPath[] = [];
   answerRepath: (outcome: OrderOutcome) => void = () => {};
   silent = new Set<ServerAddress>();
+  /** Servers whose next answer is lost. */
+  silentOnce = new Set<ServerAddress>();
   stalledAt: ServerAddress | undefined;
 
   override async report(address: ServerAddress): Promise<ServerReport> {
-    if (this.silent.has(address)) throw new Error('no answer');
+    const isSilent = this.silent.has(address);
+    if (this.silentOnce.delete(address) || isSilent) {
+      throw new Error('no answer');
+    }
     const stalled = this.stalledAt
       ? [{request: REQUEST, address: this.stalledAt}]
       : [];
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -75,6 +75,25 @@
       expect(new Set(firsts).size).toEqual(2);
     });
 
+    it('asks again before it suspects all servers of a path', async () => {
+      const harness = new RelayHarness();
+      const [{path}] = harness.admission.currentChains();
+      const addresses = path.map(({server}) => server.address);
+      const suspected = () =>
+        addresses.filter(address => harness.fleet.isSuspected(address));
+      harness.control.silent = new Set([addresses[1]]);
+      harness.doctor.probePath(path);
+      await settle();
+      expect(suspected()).toEqual([addresses[1]]);
+      harness.fleet.clearSuspicion(addresses[1]);
+      harness.nowMs += 1000;
+      harness.control.silentOnce = new Set(addresses);
+      harness.control.silent.clear();
+      harness.doctor.probePath(path);
+      await settle();
+      expect(suspected()).toEqual([]);
+    });
+
     it('does not let a lost answer outweigh events (lossy links)', async () => {
       const harness = new RelayHarness();
       harness.begin();
