Explain a request from the logs of all processes; check the log catalogue

Cause: from a request's id to its cause took searches by hand over the logs of several entries, with differing clocks and without a sign of missing lines. A test holds that each message of the forwarding entry stands in docs/OPERATIONS.md; 19 of 41 were missing.

--- a/packages/azurecrank/src/cli/explain/command.ts
+++ b/packages/azurecrank/src/cli/explain/command.ts
@@ -1,4 +1,7 @@
-/** `azurecrank explain [REASON]`: what a refusal or a retry reason means. */
+/**
+ * `azurecrank explain [REASON]`: what a refusal or a retry reason means, or
+ * with `--logs` what happened to a request.
+ */
 import type {CommandModule} from 'yargs';
 import {hintForName} from '@azurecrank/core';
 import {
@@ -9,23 +12,47 @@
 } from '../common.js';
 import {ExitCode} from '../exit_codes.js';
 import {EXPLANATIONS, type Explanation} from './explanations.js';
+import {explainRequest} from './request_command.js';
 
 interface ExplainOptions extends JsonOption {
   reason?: string;
+  logs?: string[];
 }
 
 export const explainCommand: CommandModule<object, ExplainOptions> = {
   command: 'explain [reason]',
   describe: 'Explain a refusal or retry reason, or list all',
   builder: argv =>
-    withJson(argv).positional('reason', {
-      type: 'string',
-      describe: 'Reason from a problem document, a log line or a counter',
-    }),
-  handler: options => report(explain(options.reason), options),
+    withJson(argv)
+      .positional('reason', {
+        type: 'string',
+        describe:
+          'Reason from a problem document, a log line or a counter; with ' +
+          '--logs the id of a request',
+      })
+      .option('logs', {
+        type: 'string',
+        array: true,
+        describe: 'Log files of all processes; - reads standard input',
+      }),
+  handler: options => report(explain(options), options),
 };
 
-function explain(reason: string | undefined): CommandResult {
+function explain({reason, logs}: ExplainOptions): CommandResult {
+  return logs ? explainWithLogs(reason, logs) : explainReason(reason);
+}
+
+function explainWithLogs(
+  request: string | undefined,
+  logs: readonly string[],
+): CommandResult {
+  if (request !== undefined) return explainRequest(request, logs);
+  const message = 'name a request: azurecrank explain ID --logs FILE...';
+  const json = {outcome: 'usage', message};
+  return {exitCode: ExitCode.usage, json, text: message};
+}
+
+function explainReason(reason: string | undefined): CommandResult {
   if (reason === undefined) {
     const text = EXPLANATIONS.map(formatShort).join('\n');
     return {exitCode: ExitCode.ok, json: EXPLANATIONS, text};
--- /dev/null
+++ b/packages/azurecrank/src/cli/explain/request_command.ts
@@ -0,0 +1,78 @@
+/** `azurecrank explain ID --logs FILE...`: what happened to one request. */
+import {readLogText, type LogLine} from '../../core/explaining/log_lines.js';
+import {
+  requestStory,
+  type RequestStory,
+  type StoryEvent,
+} from '../../core/explaining/request_story.js';
+import {storyCause} from '../../core/explaining/story_cause.js';
+import {readFile, type CommandResult} from '../common.js';
+import {ExitCode} from '../exit_codes.js';
+
+/** Reads logs from standard input. */
+const STANDARD_INPUT = '-';
+const STANDARD_INPUT_DESCRIPTOR = '/dev/stdin';
+
+/** Longer values, such as paths, are cut in the text. */
+const MOST_CHARACTERS = 160;
+
+export function explainRequest(
+  request: string,
+  files: readonly string[],
+): CommandResult {
+  const lines: LogLine[] = [];
+  let unreadable = 0;
+  for (const file of files) {
+    const path = file === STANDARD_INPUT ? STANDARD_INPUT_DESCRIPTOR : file;
+    const read = readFile(path);
+    if (read.kind === 'failed') return read.result;
+    const log = readLogText(read.text);
+    for (const line of log.lines) lines.push(line);
+    unreadable += log.unreadable;
+  }
+  const story = requestStory(request, lines);
+  if (!story) {
+    const message =
+      `no line of ${lines.length} names request ${request}` +
+      ` (${unreadable} lines are no log lines); give the logs of all entries`;
+    const json = {outcome: 'unknown_request', message};
+    return {exitCode: ExitCode.notKnown, json, text: message};
+  }
+  const cause = storyCause(story);
+  return {
+    exitCode: ExitCode.ok,
+    json: {...story, cause, unreadableLines: unreadable},
+    text: formatStory(story, cause),
+  };
+}
+
+function formatStory(story: RequestStory, cause: readonly string[]): string {
+  const offsets = Object.entries(story.clockOffsetsMs).map(
+    ([node, ms]) => `the clock of ${node} is ${Math.round(ms)} ms ahead`,
+  );
+  return [
+    `request ${story.request} at ${story.node}`,
+    ...story.events.map(formatEvent),
+    ...story.missing.map(what => `missing: ${what}`),
+    ...offsets.map(offset => `corrected: ${offset}`),
+    `cause: ${cause[0]}`,
+    ...cause.slice(1).map(reason => `  ${reason}`),
+  ].join('\n');
+}
+
+function formatEvent(event: StoryEvent): string {
+  const {sinceMs, node, message, isOwn, fields} = event;
+  const values = Object.entries(fields)
+    .filter(([, value]) => value !== '' && value !== undefined)
+    .map(([name, value]) => `${name}=${shorten(value)}`);
+  const mark = isOwn ? '*' : ' ';
+  const at = `${Math.round(sinceMs)} ms`.padStart(10);
+  return `${mark}${at}  ${node}  ${message}  ${values.join(' ')}`.trimEnd();
+}
+
+function shorten(value: unknown): string {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return text.length > MOST_CHARACTERS
+    ? `${text.slice(0, MOST_CHARACTERS)}…`
+    : text;
+}
--- a/packages/azurecrank/test/documentation_test.ts
+++ b/packages/azurecrank/test/documentation_test.ts
@@ -35,7 +35,8 @@
   return SOURCES.flatMap(directory =>
     readdirSync(directory, {recursive: true, encoding: 'utf8'})
       .filter(file => file.endsWith('.ts'))
-      .map(file => ({file, text: readFileSync(join(directory, file), 'utf8')})),
+      .map(file => join(directory, file))
+      .map(file => ({file, text: readFileSync(file, 'utf8')})),
   );
 }
 
@@ -55,6 +56,19 @@
     });
   }
 
+  it('has every message that the forwarding entry logs', () => {
+    const call =
+      /(?:logger\s*\.\s*(?:info|warn|error)|this\.log)\(\s*'([^']+)'/g;
+    const messages = readSources()
+      .filter(({file}) => file.includes('forwarding'))
+      .flatMap(({text}) => [...text.matchAll(call)].map(match => match[1]));
+    expect(messages.length).toBeGreaterThan(30);
+    const missing = messages.filter(
+      message => !PAGE.includes(`\`${message}\``),
+    );
+    expect(missing).toEqual([]);
+  });
+
   for (const [reason, {status, ...rest}] of Object.entries(REFUSALS)) {
     it(`has the refusal ${reason} with its status`, () => {
       const [row, ...others] = rowsOf('Refusal reasons', reason);
