Log the rank of requests and the retries left

Both are inputs of decisions and tell the hypotheses apart. The ranking of a request becomes a module of its own, with the same result as before.

--- a/packages/forwarding/src/core/gateway/accept_request.ts
+++ b/packages/forwarding/src/core/gateway/accept_request.ts
@@ -6,13 +6,15 @@
   type RequestStep,
 } from '@azurecrank/core';
 import type {CallerMetadata} from '../adapter/platform_adapter.js';
+import type {RequestRanking} from '../routing/request_ranking.js';
 import type {RouteIndex} from '../routing/route_index.js';
 import type {Route, RoutingTable, Workspace} from '../routing/routing_table.js';
 
-/** The routing table in force with its index. */
+/** The routing table in force with what is derived from it. */
 export interface RoutingView {
   readonly table: RoutingTable;
   readonly index: RouteIndex;
+  readonly ranking: RequestRanking;
 }
 
 export type Acceptance =
--- a/packages/forwarding/src/core/gateway/caller_exchange.ts
+++ b/packages/forwarding/src/core/gateway/caller_exchange.ts
@@ -1,6 +1,6 @@
 /** A caller's request and response while the request is served. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {LogFields, RequestId, WorkspaceId} from '@azurecrank/core';
+import type {LogFields, Rank, RequestId, WorkspaceId} from '@azurecrank/core';
 import type {CallerMetadata} from '../adapter/platform_adapter.js';
 import type {Route, RoutingTable} from '../routing/routing_table.js';
 
@@ -10,6 +10,7 @@
   readonly workspace: WorkspaceId | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
+  readonly rank: Rank;
   /** Whether the caller's API key is removed before the server gets it. */
   readonly stripsApiKey: boolean;
   readonly table: RoutingTable;
@@ -51,6 +52,7 @@
       workspace: accepted?.workspace,
       route: accepted?.route.name,
       priority: accepted?.priority,
+      rank: accepted?.rank,
       configVersion: accepted?.table.version,
     };
   }
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -1,12 +1,6 @@
 /** Accepts requests of callers and passes them to the relay for their kind. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  RANKS,
-  refuse,
-  type Rank,
-  type ServiceId,
-  type WorkspaceId,
-} from '@azurecrank/core';
+import {refuse, type ServiceId, type WorkspaceId} from '@azurecrank/core';
 import {readBody, type RefusalSender} from 'azurecrank';
 import type {WireCodec} from '../adapter/platform_adapter.js';
 import type {
@@ -129,7 +123,7 @@
     const accepted: AcceptedRequest = {
       route,
       workspace: workspace?.workspace,
-      priority: workspace?.priority ?? route.priority,
+      ...view.ranking.urgencyOf(route, workspace),
       stripsApiKey: view.table.workspaces !== undefined,
       table: view.table,
       body: read.body,
@@ -162,7 +156,7 @@
       request: exchange.request,
       workspace: accepted.workspace ?? ('' as WorkspaceId),
       weight: 1,
-      rank: toRank(accepted.priority),
+      rank: accepted.rank,
       costTokens: expectedTokens(exchange, model),
       deadlineAtMs: accepted.deadlineAtMs,
       firstTokenDeadlineAtMs: nowMs + maxQueueWaitMs(route),
@@ -218,10 +212,6 @@
   );
 }
 
-function toRank(priority: number): Rank {
-  return RANKS[Math.min(Math.max(0, priority), RANKS.length - 1)];
-}
-
 /** Prompt and half of the response: the average KV-cache tokens in use. */
 function expectedTokens({metadata}: CallerExchange, model: ModelSpec): number {
   const responseTokens = Math.min(
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -91,7 +91,7 @@
  * With eight entries, retries stay within the overall budget of a fifth of the
  * requests plus about 400 in 10 s.
  */
-const RETRY_BUDGET = {perSuccess: 0.15, perSecond: 1, capacity: 40};
+export const RETRY_BUDGET = {perSuccess: 0.15, perSecond: 1, capacity: 40};
 
 /** Added to the idle and header timeouts that callers may use in full. */
 const CALLER_TIMEOUT_MARGIN_MS = 1000;
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -431,6 +431,7 @@
         decision,
         lost: first,
         cause: this.lastCause,
+        retryTokens: Math.floor(budget.availableTokens(now)),
       });
       this.splitter.discardPartial();
       if (decision === 'queue_again')
--- a/packages/forwarding/src/core/routing/table_holder.ts
+++ b/packages/forwarding/src/core/routing/table_holder.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@azurecrank/core';
 import type {StoreCodec} from '../adapter/platform_adapter.js';
 import type {RoutingView} from '../gateway/accept_request.js';
+import {RequestRanking} from './request_ranking.js';
 import {RouteIndex} from './route_index.js';
 import type {RoutingTable} from './routing_table.js';
 
@@ -48,7 +49,11 @@
     const version = this.current?.table.version ?? 0;
     if (table.version <= version) return;
     this.currentText = text;
-    this.current = {table, index: new RouteIndex(table.routes)};
+    this.current = {
+      table,
+      index: new RouteIndex(table.routes),
+      ranking: new RequestRanking(table),
+    };
     this.logger.info('routing table in force', {
       configVersion: table.version,
       previous: version,
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -262,6 +262,7 @@
       route: {...ROUTE, ...route},
       workspace: undefined,
       priority: 0,
+      rank: 'urgent' as const,
       stripsApiKey: true,
       table: {
         version: 1,
--- a/packages/forwarding/test/routing_test.ts
+++ b/packages/forwarding/test/routing_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import type {ServiceId, WorkspaceId} from '@azurecrank/core';
 import {
+  RequestRanking,
   RouteIndex,
   acceptRequest,
   pickService,
@@ -79,7 +80,8 @@
   ]);
   const decide = (target: string, metadata: Partial<CallerMetadata> = {}) => {
     const all = {...METADATA, ...metadata};
-    const result = acceptRequest({table, index}, 'shop.example', target, all);
+    const view = {table, index, ranking: new RequestRanking(table)};
+    const result = acceptRequest(view, 'shop.example', target, all);
     return result.kind === 'accepted' ? 'accepted' : result.refusal.reason;
   };
 
