--- /dev/null
+++ b/packages/forwarding/test/entry_fleet.ts
@@ -0,0 +1,138 @@
+/**
+ * Entries in front of one fleet of servers, which exchange their reports at
+ * intervals. A server refuses a request for which it has no free KV cache.
+ */
+import type {RequestId, WorkspaceId} from '@azurecrank/core';
+import {
+  ChainLoads,
+  FleetView,
+  ModelAdmission,
+  type ServerAddress,
+  type ServerChain,
+} from '@azurecrank/forwarding';
+import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
+
+export const ENTRY_COUNT = 34;
+
+/** Interval at which entries report to each other. */
+const REPORT_INTERVAL_MS = 200;
+const STEP_MS = 25;
+
+export class EntryFleet {
+  nowMs = 0;
+  sent = 0;
+  /** Ranks of the requests that servers accepted, in order. */
+  readonly accepted: string[] = [];
+  refused = 0;
+  readonly entries = Array.from(
+    {length: ENTRY_COUNT},
+    (_, i) => new Entry(`entry-${i}`, this),
+  );
+  /** Tokens that are in use at the servers, by first server. */
+  private readonly usedTokens = new Map<ServerAddress, number>();
+  private readonly endings: Array<() => void>[] = [];
+
+  /** Makes all entries learn of the servers, which hold all layers. */
+  registerServers(): void {
+    for (const {fleet, admission} of this.entries) {
+      for (const server of laidOutFleet()) fleet.put(server, this.nowMs);
+      admission.processQueue();
+    }
+  }
+
+  /** Lets time pass; each request runs for `runMs`. */
+  advance(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      for (const end of this.endings[this.nowMs / STEP_MS] ?? []) end();
+      if (this.nowMs % REPORT_INTERVAL_MS === 0) this.exchangeReports();
+      for (const {admission} of this.entries) admission.processQueue();
+    }
+  }
+
+  /** Starts a request at a server; returns whether the server accepts it. */
+  start(chain: ServerChain, tokens: number, onEnd: () => void): boolean {
+    this.sent++;
+    const first = chain.path[0].server.address;
+    const used = (this.usedTokens.get(first) ?? 0) + tokens;
+    if (used > chain.capacityTokens) {
+      this.refused++;
+      return false;
+    }
+    this.usedTokens.set(first, used);
+    const endStep = this.nowMs / STEP_MS + RUN_MS / STEP_MS;
+    (this.endings[endStep] ??= []).push(() => {
+      this.usedTokens.set(first, (this.usedTokens.get(first) ?? 0) - tokens);
+      onEnd();
+    });
+    return true;
+  }
+
+  private exchangeReports(): void {
+    for (const from of this.entries) {
+      for (const to of this.entries) {
+        if (from !== to) to.receiveReportOf(from);
+      }
+    }
+  }
+}
+
+/** Time for which a server runs a request. */
+const RUN_MS = 3000;
+
+class Entry {
+  readonly loads = new ChainLoads();
+  readonly fleet = new FleetView();
+  readonly admitted: string[] = [];
+  readonly admission: ModelAdmission;
+
+  constructor(
+    readonly node: string,
+    private readonly entryFleet: EntryFleet,
+  ) {
+    this.admission = new ModelAdmission({
+      service: SERVICE,
+      availabilityZone: 'river',
+      fleet: this.fleet,
+      loads: this.loads,
+      model: () => MODEL,
+      nowMs: () => this.entryFleet.nowMs,
+      onChainsChanged: () => {},
+    });
+  }
+
+  receiveReportOf(peer: Entry): void {
+    const {nowMs} = this.entryFleet;
+    this.loads.setPeerUsage(peer.node, peer.loads.ownUsedTokens(), nowMs);
+  }
+
+  enqueue(name: string, rank: 'urgent' | 'ordinary' | 'overnight'): void {
+    const {nowMs} = this.entryFleet;
+    const costTokens = 860;
+    const item = {
+      request: `${this.node}-${name}` as RequestId,
+      workspace: 'w' as WorkspaceId,
+      weight: 1,
+      rank,
+      costTokens,
+      deadlineAtMs: nowMs + 20_000,
+      firstTokenDeadlineAtMs: nowMs + 5000,
+      enqueuedAtMs: nowMs,
+      admit: (chain: ServerChain) => {
+        const first = chain.path[0].server.address;
+        const release = () => this.loads.release(first, costTokens);
+        const isAccepted = this.entryFleet.start(chain, costTokens, release);
+        if (isAccepted) {
+          this.entryFleet.accepted.push(rank);
+          return void this.admitted.push(rank);
+        }
+        release();
+        this.loads.recordRefusal(first, this.entryFleet.nowMs);
+        this.admission.requeue(item);
+      },
+      refuse: () => {},
+    };
+    this.admission.enqueue(item);
+  }
+}
--- a/packages/forwarding/test/routing_test.ts
+++ b/packages/forwarding/test/routing_test.ts
@@ -1,5 +1,10 @@
 import {describe, it} from 'node:test';
-import type {ServiceId, WorkspaceId} from '@azurecrank/core';
+import {
+  RANKS,
+  type Rank,
+  type ServiceId,
+  type WorkspaceId,
+} from '@azurecrank/core';
 import {
   RequestRanking,
   RouteIndex,
@@ -99,6 +104,49 @@
   });
 });
 
+/** Guards against urgent routes being served least (incident 6). */
+describe('RequestRanking', () => {
+  const ROUTES = [0, 1, 2].map(priority =>
+    route(`/${priority}/`, {kind: 'stream', priority}),
+  );
+
+  /** Ranks of the routes for a key of a workspace with this priority. */
+  function ranksIn(workspacePriorities: number[], priority?: number): Rank[] {
+    const workspaces = new Map(
+      workspacePriorities.map(p => [
+        `k${p}`,
+        {workspace: `w${p}` as WorkspaceId, priority: p},
+      ]),
+    );
+    const ranking = new RequestRanking({
+      version: 1,
+      routes: ROUTES,
+      services: new Map(),
+      limits: {
+        maxHeaderBytes: 1,
+        maxBodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+      workspaces,
+    });
+    const workspace = workspaces.get(`k${priority}`);
+    return ROUTES.map(r => ranking.urgencyOf(r, workspace).rank);
+  }
+
+  it('ranks by route if all workspaces have the same priority', () => {
+    expect(ranksIn([1], 1)).toEqual(['urgent', 'ordinary', 'overnight']);
+  });
+
+  it('ranks by workspace before route', () => {
+    const indexOf = (rank: Rank) => RANKS.indexOf(rank);
+    const high = ranksIn([0, 1], 0).map(indexOf);
+    const low = ranksIn([0, 1], 1).map(indexOf);
+    expect(Math.max(...high)).toBeLessThanOrEqual(Math.min(...low));
+    expect(high[0]).toBeLessThan(low[2]);
+  });
+});
+
 describe('pickService', () => {
   it('follows the weights of the services', () => {
     const split = route('/a/', {
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -3,6 +3,41 @@
 import {RelayHarness, flushPromises} from './relay_harness.js';
 
 describe('StreamRelay', () => {
+  // Guards against a server filling the memory of the entry with an error.
+  it('gives up an error response that does not end', () => {
+    const harness = new RelayHarness();
+    const {lastSent: sent} = harness;
+    sent.handlers.onHead(500, []);
+    const chunk = Buffer.alloc(64 * 1024);
+    for (let i = 0; i < 128 && !sent.isAborted; i++)
+      sent.handlers.onData(chunk);
+    expect(sent.isAborted).toEqual(true);
+    expect(harness.upstream.sent.length).toEqual(2);
+  });
+
+  // Guards against retries that a refusing chain can only refuse (incident 6).
+  it('sends a started stream less and less often to chains that refuse it', async () => {
+    const harness = new RelayHarness();
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    harness.lastSent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+    const chainCount = harness.admission.currentChains().length;
+    const sentBefore = harness.upstream.sent.length;
+    let answered = sentBefore - 1;
+    for (let i = 0; i < 36; i++) {
+      if (harness.upstream.sent.length > answered) {
+        answered = harness.upstream.sent.length;
+        const {handlers} = harness.lastSent;
+        handlers.onHead(503, ['not-run']);
+        handlers.onEnd();
+      }
+      await harness.advance(50);
+    }
+    const sentPerChain =
+      (harness.upstream.sent.length - sentBefore) / chainCount;
+    expect(sentPerChain).toBeLessThanOrEqual(3);
+  });
+
   describe('when a later server of the path is lost', () => {
     it('migrates the running request to a path without it', async () => {
       const harness = new RelayHarness();
