--- a/packages/forwarding/src/core/routing/routing_table.ts
+++ b/packages/forwarding/src/core/routing/routing_table.ts
@@ -80,7 +80,7 @@
 
 export interface Workspace {
   readonly workspace: WorkspaceId;
-  /** Takes precedence over the priority of a route. */
+  /** Compared before the priority of the route, which decides between equals. */
   readonly priority: number | undefined;
 }
 
