Back off longer from chains that keep refusing

Cause: a refusal closed a chain for a fixed 0.2 s, after which each entry sent it all requests that fitted. A chain that stayed short of memory thus got some 170 requests a second from 34 entries, and each used a retry.

The back-off now doubles with each refusal in a row, from 0.3 to 2.4 s. After it, one request is sent as a trial, and the others follow when the chain runs it. Refusals of requests sent before an earlier refusal do not count.

--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -16,9 +16,25 @@
 
 /**
  * Time for which a chain gets no new request after a refusal, which mostly means
- * that one of its servers has no free KV-cache tokens.
+ * that one of its servers has no free KV-cache tokens. It doubles with each
+ * refusal in a row.
  */
-const REFUSAL_BACKOFF_MS = 200;
+const MIN_REFUSAL_BACKOFF_MS = 300;
+const MAX_REFUSAL_BACKOFF_MS = 2400;
+
+/** Time after a back-off from which a refusal does not prolong it. */
+const REFUSAL_MEMORY_MS = 5000;
+
+/** Time for which the outcome of a trial request is awaited. */
+const TRIAL_TIMEOUT_MS = 1000;
+
+/** A chain that refused the last request sent to it. */
+interface RefusingChain {
+  readonly backoffMs: number;
+  readonly refusedAtMs: number;
+  /** Time until which the chain gets no request, not even one as a trial. */
+  closedUntilMs: number;
+}
 
 interface PeerUsage {
   readonly usedTokens: ReadonlyMap<ServerAddress, number>;
@@ -28,7 +44,7 @@
 export class ChainLoads {
   private readonly ownTokensByFirst = new Map<ServerAddress, number>();
   private readonly peerUsages = new Map<string, PeerUsage>();
-  private readonly refusingUntilMs = new Map<ServerAddress, number>();
+  private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
 
   /** Tokens reserved by this entry, by the first server of the chain. */
   ownUsedTokens(): Record<string, number> {
@@ -36,7 +52,10 @@
   }
 
   /** Reserves tokens on a chain for a request of this entry. */
-  reserve(first: ServerAddress, tokens: number): void {
+  reserve(first: ServerAddress, tokens: number, nowMs: number): void {
+    const refusing = this.refusingChains.get(first);
+    // The first request after the back-off is a trial; others wait for it.
+    if (refusing) refusing.closedUntilMs = nowMs + TRIAL_TIMEOUT_MS;
     this.ownTokensByFirst.set(
       first,
       (this.ownTokensByFirst.get(first) ?? 0) + tokens,
@@ -59,9 +78,36 @@
     this.peerUsages.set(node, {usedTokens: new Map(entries), atMs: nowMs});
   }
 
-  /** Records that a server of the chain refused a request. */
-  recordRefusal(first: ServerAddress, nowMs: number): void {
-    this.refusingUntilMs.set(first, nowMs + REFUSAL_BACKOFF_MS);
+  /**
+   * Records that a server of the chain refused a request.
+   * @param sentAtMs when the request was sent; requests that were sent before
+   *     an earlier refusal do not prolong the back-off
+   */
+  recordRefusal(first: ServerAddress, sentAtMs: number, nowMs: number): void {
+    this.forgetOldRefusals(nowMs);
+    const earlier = this.refusingChains.get(first);
+    if (earlier && sentAtMs < earlier.refusedAtMs) return;
+    const backoffMs = earlier
+      ? Math.min(earlier.backoffMs * 2, MAX_REFUSAL_BACKOFF_MS)
+      : MIN_REFUSAL_BACKOFF_MS;
+    const closedUntilMs = nowMs + backoffMs;
+    this.refusingChains.set(first, {
+      backoffMs,
+      refusedAtMs: nowMs,
+      closedUntilMs,
+    });
+  }
+
+  /** Records that the chain runs a request. */
+  recordAcceptance(first: ServerAddress): void {
+    this.refusingChains.delete(first);
+  }
+
+  private forgetOldRefusals(nowMs: number): void {
+    for (const [first, {closedUntilMs}] of this.refusingChains) {
+      if (nowMs - closedUntilMs > REFUSAL_MEMORY_MS)
+        this.refusingChains.delete(first);
+    }
   }
 
   /** Tokens in use on a chain, by this entry and its peers. */
@@ -81,10 +127,11 @@
     return this.usedTokens(first, nowMs) / Math.max(1, chain.capacityTokens);
   }
 
-  /** Tokens that the chain can still admit; 0 while it backs off. */
+  /** Tokens that the chain can still admit; 0 while it gets no request. */
   freeTokens(chain: ServerChain, nowMs: number): number {
     const first = chain.path[0].server.address;
-    if (nowMs < (this.refusingUntilMs.get(first) ?? -Infinity)) return 0;
+    const refusing = this.refusingChains.get(first);
+    if (refusing && nowMs < refusing.closedUntilMs) return 0;
     const admissible = chain.capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
     return Math.max(0, admissible - this.usedTokens(first, nowMs));
   }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -196,7 +196,7 @@
           )
         : chooseChain(chains, loads, item.costTokens, availabilityZone, now);
       if (!chain) return;
-      loads.reserve(chain.path[0].server.address, item.costTokens);
+      loads.reserve(chain.path[0].server.address, item.costTokens, now);
       this.rateMeter.recordAdmission(item.costTokens, now);
       item.admit(chain);
     }
@@ -228,7 +228,7 @@
       isAllowed(path[0].server.address),
     );
     const chosen = chooseChain(chains, loads, tokens, availabilityZone, now);
-    if (chosen) loads.reserve(chosen.path[0].server.address, tokens);
+    if (chosen) loads.reserve(chosen.path[0].server.address, tokens, now);
     return chosen;
   }
 
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -296,7 +296,9 @@
   /** Forwards the response head of the first server that responds. */
   private forwardHead(headers: string[]): void {
     this.mayHaveRun = true;
-    this.startedOn.add(this.path[0].server.address);
+    const first = this.path[0].server.address;
+    this.startedOn.add(first);
+    this.options.loads.recordAcceptance(first);
     if (this.isHeadSent || this.isFinished) return;
     this.isHeadSent = true;
     writeHead(
@@ -372,7 +374,8 @@
       const faulty = faultyAddress ?? first;
       // It may have failed, be draining or reloading, or have no free KV cache.
       failureDetector.checkAfterRefusal(faulty);
-      this.options.loads.recordRefusal(first, this.options.nowMs());
+      const {loads, nowMs} = this.options;
+      loads.recordRefusal(first, this.sentAtMs, nowMs());
       this.lastCause = `status ${status} at ${faulty}`;
       return this.continueOrEnd(first, true);
     }
--- a/packages/forwarding/test/entry_fleet.ts
+++ b/packages/forwarding/test/entry_fleet.ts
@@ -132,11 +132,13 @@
         const release = () => this.loads.release(first, costTokens);
         const isAccepted = this.entryFleet.start(chain, costTokens, release);
         if (isAccepted) {
+          this.loads.recordAcceptance(first);
           this.entryFleet.accepted.push(rank);
           return void this.admitted.push(rank);
         }
         release();
-        this.loads.recordRefusal(first, this.entryFleet.nowMs);
+        const {nowMs: refusedAtMs} = this.entryFleet;
+        this.loads.recordRefusal(first, refusedAtMs, refusedAtMs);
         this.admission.requeue(item);
       },
       refuse: () => {},
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -168,12 +168,28 @@
   it('admits nothing to a chain that has just refused a request', () => {
     const admission = new AdmissionHarness();
     const [full] = admission.chains();
-    admission.loads.recordRefusal(full.path[0].server.address, 0);
+    admission.loads.recordRefusal(full.path[0].server.address, 0, 0);
     for (let i = 0; i < 30; i++) admission.enqueue(`r${i}`, 'urgent');
     const used = admission.loads.ownUsedTokens();
     expect(Object.keys(used)).not.toInclude(full.path[0].server.address);
   });
 
+  // Guards against many requests to a chain that still refuses (incident 6).
+  it('tries a chain with one request after it has refused', () => {
+    const admission = new AdmissionHarness();
+    const [refusing, ...others] = admission.chains();
+    const first = refusing.path[0].server.address;
+    admission.loads.recordRefusal(first, 0, 0);
+    admission.nowMs = 350;
+    const used = others.map(c => [c.path[0].server.address, c.capacityTokens]);
+    admission.loads.setPeerUsage('peer', Object.fromEntries(used), 350);
+    for (let i = 0; i < 10; i++) admission.enqueue(`r${i}`, 'urgent');
+    expect(admission.admitted).toEqual(['r0']);
+    admission.loads.recordAcceptance(first);
+    admission.admission.processQueue();
+    expect(admission.admitted.length).toEqual(10);
+  });
+
   it('spreads requests over all chains', () => {
     const admission = new AdmissionHarness();
     for (let i = 0; i < 60; i++) admission.enqueue(`r${i}`, 'urgent');
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -373,7 +373,8 @@
   /** Records a refusal of every chain at the current time. */
   refuseOnAllChains(): void {
     for (const {path} of this.admission.currentChains()) {
-      this.loads.recordRefusal(path[0].server.address, this.nowMs);
+      const {nowMs} = this;
+      this.loads.recordRefusal(path[0].server.address, nowMs, nowMs);
     }
   }
 
