--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -91,6 +91,9 @@
 /** Retry delay reported to the caller when no chain could run the request. */
 const NO_CHAIN_RETRY_AFTER_MS = 300;
 
+/** Maximum size of an error response, which is kept until it is complete. */
+const MAX_ERROR_BYTES = 1024 * 1024;
+
 const HTTP_OK = 200;
 
 export class StreamRelay {
@@ -266,6 +269,7 @@
     let status = 0;
     let head: string[] = [];
     const failureBody: Buffer[] = [];
+    let failureBytes = 0;
     return {
       onHead: (code: number, headers: readonly string[]) => {
         status = code;
@@ -282,7 +286,9 @@
       },
       onData: (chunk: Buffer) => {
         if (status === HTTP_OK) this.forwardEvents(chunk);
-        else failureBody.push(chunk);
+        else if ((failureBytes += chunk.length) <= MAX_ERROR_BYTES)
+          failureBody.push(chunk);
+        else this.abandonServer('error response exceeds 1 MiB');
       },
       onEnd: () => {
         if (status === HTTP_OK) this.complete();
