--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -110,6 +110,34 @@
       expect(new Set(firsts).size).toEqual(2);
     });
 
+    // Guards against a third server after false suspicions (incident 6).
+    it('counts a suspected server among those that it ran on', async () => {
+      const harness = new RelayHarness({maxAttempts: 2});
+      for (const id of [1, 2, 3]) {
+        const {lastSent: sent} = harness;
+        harness.receiveHead();
+        harness.receiveEvents(id);
+        harness.fleet.suspect(sent.request.address);
+        sent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+        await harness.advance(400);
+      }
+      const firsts = harness.upstream.sent.map(({request}) => request.address);
+      expect(new Set(firsts).size).toEqual(2);
+    });
+
+    it('counts a server that may have run it without a response', async () => {
+      const harness = new RelayHarness({maxAttempts: 2});
+      for (let i = 0; i < 4; i++) {
+        const {lastSent: sent, nowMs} = harness;
+        const first = sent.request.address;
+        harness.loads.recordRefusal(first, nowMs, nowMs);
+        sent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+        await harness.advance(100);
+      }
+      const firsts = harness.upstream.sent.map(({request}) => request.address);
+      expect(new Set(firsts).size).toEqual(2);
+    });
+
     it('queries again before it suspects all servers of a path', async () => {
       const harness = new RelayHarness();
       const [{path}] = harness.admission.currentChains();
