Count suspected servers among those that a stream ran on

A request without a response had no limit at all, since the queue knows none.

A server counts until its registration is gone, and from the moment at which it may have run the request. Once as many have run it as the route allows, it continues on these or not at all.

--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -88,10 +88,10 @@
  * allows, not counting lost ones, may continue only on one of these.
  */
 export function allowedFirstServers<T>(
-  startedOn: ReadonlySet<T>,
+  mayHaveRunOn: ReadonlySet<T>,
   isLost: (server: T) => boolean,
   maxAttempts: number,
 ): ReadonlySet<T> | undefined {
-  const live = new Set([...startedOn].filter(server => !isLost(server)));
+  const live = new Set([...mayHaveRunOn].filter(server => !isLost(server)));
   return live.size < maxAttempts ? undefined : live;
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -122,8 +122,8 @@
   private isFinished = false;
   private lastCause = '';
   private readonly failedFirstServers = new Set<ServerAddress>();
-  /** First servers that started to respond. */
-  private readonly startedOn = new Set<ServerAddress>();
+  /** First servers that may have run the request. */
+  private readonly mayHaveRunOn = new Set<ServerAddress>();
 
   constructor(
     private readonly exchange: CallerExchange,
@@ -303,7 +303,7 @@
   private forwardHead(headers: string[]): void {
     this.mayHaveRun = true;
     const first = this.path[0].server.address;
-    this.startedOn.add(first);
+    this.mayHaveRunOn.add(first);
     this.options.loads.recordAcceptance(first);
     if (this.isHeadSent || this.isFinished) return;
     this.isHeadSent = true;
@@ -398,9 +398,12 @@
     if (this.isFinished || this.path.length === 0) return;
     const first = this.path[0].server.address;
     this.lastCause = cause;
-    if (mayHaveRun) this.mayHaveRun = true;
-    else
+    if (mayHaveRun) {
+      this.mayHaveRun = true;
+      this.mayHaveRunOn.add(first);
+    } else {
       this.options.failureDetector.suspectServer(first, cause, this.sentAtMs);
+    }
     this.continueOrEnd(first, false);
   }
 
@@ -445,7 +448,8 @@
         availableRetries,
       });
       this.splitter.discardPartial();
-      if (decision === 'queue_again')
+      // The queue knows no limit on the servers that a request may run on.
+      if (decision === 'queue_again' && this.allowedServers() === undefined)
         this.admission.requeue(this.queuedRequest);
       else this.resume();
       return;
@@ -458,12 +462,7 @@
    * again.
    */
   private resume(): void {
-    const {fleet} = this.options;
-    const allowed = allowedFirstServers(
-      this.startedOn,
-      address => fleet.isSuspected(address) || !fleet.findByAddress(address),
-      this.accepted.route.maxAttempts,
-    );
+    const allowed = this.allowedServers();
     const chain = this.admission.reserveChain(
       this.queuedRequest.costTokens,
       address =>
@@ -476,6 +475,19 @@
     this.send(chain.path);
   }
 
+  /**
+   * First servers to which the route's limit restricts the request, if any. A
+   * suspected server counts as long as it is registered, since it may be alive.
+   */
+  private allowedServers(): ReadonlySet<ServerAddress> | undefined {
+    const {fleet} = this.options;
+    return allowedFirstServers(
+      this.mayHaveRunOn,
+      address => !fleet.findByAddress(address),
+      this.accepted.route.maxAttempts,
+    );
+  }
+
   /** Ends a stream that cannot be completed. */
   private endIncomplete(decision: StreamDecision): void {
     const {refusals} = this.options;
