Let started streams wait for the retry budget

Entries get retries back with each report, and callers wait for 1.8 s or more, so the stream now waits for a retry like it waits for a chain, and uses it when it is sent. The test failed before: the connection was closed at once.

--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -20,7 +20,7 @@
 }
 
 export type StreamDecision =
-  /** Continue after the last event once another chain has free capacity. */
+  /** Continue after the last event once a chain and the retry budget allow. */
   | 'resume'
   /** Queue the request like a new one. */
   | 'queue_again'
@@ -68,17 +68,13 @@
 
 export function decideStream(state: StreamState): StreamDecision {
   const {attempts, remainingMs, hasRetryBudget} = state;
-  const canAttempt =
-    attempts < MAX_ATTEMPTS &&
-    remainingMs >= MIN_REMAINING_MS &&
-    hasRetryBudget;
+  const canAttempt = attempts < MAX_ATTEMPTS && remainingMs >= MIN_REMAINING_MS;
   const isRetryable = state.isResumable || !state.mayHaveRun;
-  const isCallerWaiting =
-    !state.isHeadSent || state.silentMs < state.callerIdleTimeoutMs;
-  if (canAttempt && isRetryable && isCallerWaiting) {
-    return state.isHeadSent ? 'resume' : 'queue_again';
+  if (state.isHeadSent) {
+    const isCallerWaiting = state.silentMs < state.callerIdleTimeoutMs;
+    return canAttempt && isRetryable && isCallerWaiting ? 'resume' : 'cut';
   }
-  if (state.isHeadSent) return 'cut';
+  if (canAttempt && isRetryable && hasRetryBudget) return 'queue_again';
   return state.mayHaveRun ? 'fail' : 'refuse';
 }
 
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -117,7 +117,7 @@
   private isRepathing = false;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
-  /** Whether a started stream waits for a chain with free capacity. */
+  /** Whether the stream waits for a chain with free capacity or for a retry. */
   private isWaitingForChain = false;
   private isFinished = false;
   private lastCause = '';
@@ -438,7 +438,6 @@
     this.path = [];
     this.upstream = undefined;
     if (decision === 'queue_again' || decision === 'resume') {
-      budget.tryAcquire(service, now);
       const reason = isRefusal ? 'refused_elsewhere' : 'stage_lost';
       metrics.increment('azurecrank_retries_total', {reason});
       this.log('stream looks for another chain', {
@@ -449,27 +448,32 @@
       });
       this.splitter.discardPartial();
       // The queue knows no limit on the servers that a request may run on.
-      if (decision === 'queue_again' && this.allowedServers() === undefined)
-        this.admission.requeue(this.queuedRequest);
-      else this.resume();
-      return;
+      const mayQueue =
+        decision === 'queue_again' && this.allowedServers() === undefined;
+      if (!mayQueue) return this.resume();
+      budget.tryAcquire(service, now);
+      return this.admission.requeue(this.queuedRequest);
     }
     this.endIncomplete(decision);
   }
 
   /**
-   * Continues on a chain with free capacity; if there is none, `tick` tries
-   * again.
+   * Continues on a chain with free capacity; if there is none, or no retry is
+   * left, `tick` tries again.
    */
   private resume(): void {
+    const {budget, service, nowMs} = this.options;
+    this.isWaitingForChain = true;
+    if (budget.available(service, nowMs()) < 1) return;
     const allowed = this.allowedServers();
     const chain = this.admission.reserveChain(
       this.queuedRequest.costTokens,
       address =>
         allowed ? allowed.has(address) : !this.failedFirstServers.has(address),
     );
-    this.isWaitingForChain = chain === undefined;
     if (!chain) return;
+    this.isWaitingForChain = false;
+    budget.tryAcquire(service, nowMs());
     this.reservedFirstServer = chain.path[0].server.address;
     this.log('stream resumed', {next: formatPath(chain.path)});
     this.send(chain.path);
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -213,6 +213,11 @@
   readonly fleet = new FleetView();
   readonly loads = new ChainLoads();
   readonly upstream = new FakeUpstream();
+  readonly budget = new SharedRetryBudget(-Infinity, {
+    ratio: 0.2,
+    extraRetries: 60,
+    windowMs: 10_000,
+  });
   readonly control = new FakeControl(
     address => this.fleet.findByAddress(address)?.layers,
   );
@@ -308,11 +313,7 @@
         failureDetector: this.failureDetector,
         loads: this.loads,
         service: SERVICE,
-        budget: new SharedRetryBudget(-Infinity, {
-          ratio: 0.2,
-          extraRetries: 60,
-          windowMs: 10_000,
-        }),
+        budget: this.budget,
         refusals: new RefusalSender(metrics, logger),
         metrics,
         logger,
@@ -342,6 +343,11 @@
     this.loads.setPeerUsage('peer', {}, this.nowMs);
   }
 
+  /** Uses all retries of the window. */
+  useAllRetries(): void {
+    while (this.budget.tryAcquire(SERVICE, this.nowMs));
+  }
+
   /** The request that was sent to a server last. */
   get lastSent(): SentRequest {
     return this.upstream.sent[this.upstream.sent.length - 1];
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -110,6 +110,22 @@
       expect(new Set(firsts).size).toEqual(2);
     });
 
+    // Guards against cutting streams because others retry (incident 6).
+    it('waits for the retry budget instead of closing the connection', async () => {
+      const harness = new RelayHarness();
+      harness.nowMs = 0;
+      harness.useAllRetries();
+      harness.nowMs = 9500;
+      harness.receiveHead();
+      harness.receiveEvents(1);
+      harness.lastSent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+      await harness.advance(200);
+      expect(harness.res.destroyed).toEqual(false);
+      expect(harness.upstream.sent.length).toEqual(1);
+      await harness.advance(600);
+      expect(harness.upstream.sent.length).toEqual(2);
+    });
+
     // Guards against a third server after false suspicions (incident 6).
     it('counts a suspected server among those that it ran on', async () => {
       const harness = new RelayHarness({maxAttempts: 2});
