--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -15,7 +15,7 @@
   type StreamProgress,
 } from '../relay/stalled_paths.js';
 import {StreamRelay, type StreamRelayOptions} from '../relay/stream_relay.js';
-import type {RetryAllowance} from '../retry/shared_retry_budget.js';
+import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec, Route} from '../routing/routing_table.js';
 import {acceptRequest, type RoutingView} from './accept_request.js';
 import {CallerExchange, type AcceptedRequest} from './caller_exchange.js';
@@ -27,7 +27,7 @@
   readonly admissionOf: (service: ServiceId) => ModelAdmission;
   readonly calls: CallRelayOptions;
   readonly streams: Omit<StreamRelayOptions, 'onFinished' | 'service'>;
-  readonly budget: RetryAllowance;
+  readonly budget: SharedRetryBudget;
   readonly refusals: RefusalSender;
   /** Whether the process drains, so callers should reconnect to another one. */
   readonly isDraining: () => boolean;
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -17,7 +17,7 @@
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeResponse} from '../gateway/write_response.js';
-import type {RetryAllowance} from '../retry/shared_retry_budget.js';
+import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {CallLoadBalancer} from './call_load_balancer.js';
 import {
   decideCall,
@@ -32,7 +32,7 @@
   readonly wire: WireCodec;
   readonly fleet: FleetView;
   readonly balancer: CallLoadBalancer;
-  readonly budget: RetryAllowance;
+  readonly budget: SharedRetryBudget;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -34,7 +34,7 @@
   type PathStage,
   type ServerPath,
 } from '../paths/server_path.js';
-import type {RetryAllowance} from '../retry/shared_retry_budget.js';
+import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {
   allowedFirstServers,
@@ -55,7 +55,7 @@
   readonly fleet: FleetView;
   readonly failureDetector: PathFailureDetector;
   readonly loads: ChainLoads;
-  readonly budget: RetryAllowance;
+  readonly budget: SharedRetryBudget;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
--- a/packages/forwarding/src/core/retry/shared_retry_budget.ts
+++ b/packages/forwarding/src/core/retry/shared_retry_budget.ts
@@ -22,15 +22,6 @@
   readonly retries: number;
 }
 
-/** The members of a retry budget that the relays use. */
-export interface RetryAllowance {
-  recordRequest(service: ServiceId, nowMs: number): void;
-  /** Number of retries that may be made now. */
-  available(service: ServiceId, nowMs: number): number;
-  /** Uses one retry and returns true, or returns false if there is none. */
-  tryAcquire(service: ServiceId, nowMs: number): boolean;
-}
-
 /**
  * Fraction of the limits that is used. The rest is for requests that fall from
  * one window to the next and for counts that a restarted entry has lost.
@@ -54,7 +45,7 @@
   readonly atMs: number;
 }
 
-export class SharedRetryBudget implements RetryAllowance {
+export class SharedRetryBudget {
   private readonly own = new Map<ServiceId, ServiceCounters>();
   private readonly peers = new Map<string, PeerReport>();
   private entryCount = 1;
@@ -69,10 +60,12 @@
     this.entryCount = Math.max(1, count);
   }
 
+  /** Records a request of a caller, whether it reaches a server or not. */
   recordRequest(service: ServiceId, nowMs: number): void {
     this.countersOf(service).requests.add(nowMs);
   }
 
+  /** Number of retries that this entry may make until its next report. */
   available(service: ServiceId, nowMs: number): number {
     const {retriesSinceReport} = this.countersOf(service);
     const reporting = 1 + this.freshPeerCount(nowMs);
@@ -80,6 +73,7 @@
     return Math.max(0, Math.floor(left / reporting) - retriesSinceReport);
   }
 
+  /** Uses one retry and returns true, or returns false if there is none. */
   tryAcquire(service: ServiceId, nowMs: number): boolean {
     if (this.available(service, nowMs) < 1) return false;
     const counters = this.countersOf(service);
