--- a/packages/forwarding/test/entry_fleet.ts
+++ b/packages/forwarding/test/entry_fleet.ts
@@ -80,7 +80,7 @@
 }
 
 /** Time for which a server runs a request. */
-const RUN_MS = 3000;
+export const RUN_MS = 3000;
 
 class Entry {
   readonly node: string;
@@ -113,7 +113,11 @@
     this.peerQueues.setQueues(peer.node, [peer.admission.queues()], nowMs);
   }
 
-  enqueue(name: string, rank: 'urgent' | 'ordinary' | 'overnight'): void {
+  enqueue(
+    name: string,
+    rank: 'urgent' | 'ordinary' | 'overnight',
+    maxWaitMs = 5000,
+  ): void {
     const {nowMs} = this.entryFleet;
     // Requests of two entries rarely arrive within the same millisecond.
     const enqueuedAtMs = nowMs - this.index;
@@ -125,7 +129,7 @@
       rank,
       costTokens,
       deadlineAtMs: nowMs + 20_000,
-      firstTokenDeadlineAtMs: nowMs + 5000,
+      firstTokenDeadlineAtMs: nowMs + maxWaitMs,
       enqueuedAtMs,
       admit: (chain: ServerChain) => {
         const first = chain.path[0].server.address;
--- a/packages/forwarding/test/many_entries_test.ts
+++ b/packages/forwarding/test/many_entries_test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {SharedRetryBudget} from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {ENTRY_COUNT, EntryFleet} from './entry_fleet.js';
+import {ENTRY_COUNT, EntryFleet, RUN_MS} from './entry_fleet.js';
 import {SERVICE} from './fleet_fixture.js';
 
 const WINDOW_MS = 10_000;
@@ -57,6 +57,10 @@
 
   describe('whose requests wait for KV-cache tokens', () => {
     const REQUESTS_PER_ENTRY = 20;
+    /** Requests that fit into the admissible capacity of all chains. */
+    const CONCURRENT_REQUESTS = 301;
+    /** Target for the throughput as a fraction of its bound. */
+    const MIN_THROUGHPUT = 0.9;
     /** More than there are KV-cache tokens for. */
     const URGENT_REQUESTS = 300;
     /** Share that the ranks below the urgent one keep. */
@@ -81,6 +85,23 @@
       expect(fleet.sent).toBeGreaterThan(REQUESTS_PER_ENTRY);
     });
 
+    // Guards against estimates from the few requests of one entry (incident 6).
+    it('refuse hardly more than the servers cannot run', () => {
+      const fleet = new EntryFleet();
+      fleet.registerServers();
+      const offered = 2200;
+      for (let i = 0; i < offered; i++) {
+        const entry = fleet.entries[(i * 13) % ENTRY_COUNT];
+        entry.enqueue(`r${i}`, 'ordinary', 425);
+        if (i % 3 === 0) fleet.advance(25);
+      }
+      const bound = CONCURRENT_REQUESTS * (1 + fleet.nowMs / RUN_MS);
+      expect(bound).toBeLessThan(offered);
+      expect(fleet.accepted.length).toBeGreaterThanOrEqual(
+        bound * MIN_THROUGHPUT,
+      );
+    });
+
     // Guards against ranks that only count within one entry (incident 6).
     it('serve urgent requests of one entry before others of its peers', () => {
       const fleet = queueRequests();
