--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -13,7 +13,7 @@
  * to use at most. The rest is for responses that are longer than expected, and
  * for requests that peers have admitted since their last report.
  */
-const ADMISSIBLE_CAPACITY_FRACTION = 0.9;
+export const ADMISSIBLE_CAPACITY_FRACTION = 0.9;
 
 /**
  * Time for which a chain gets no new request after a refusal, which mostly means
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import type {RequestId, WorkspaceId} from '@azurecrank/core';
 import {
+  ADMISSIBLE_CAPACITY_FRACTION,
   ChainLoads,
   FleetView,
   ModelAdmission,
@@ -51,7 +52,10 @@
     const [{path, capacityTokens}] = this.chains();
     const others = this.chains().slice(1);
     const used = [
-      [path[0].server.address, capacityTokens * 0.85 - 1000],
+      [
+        path[0].server.address,
+        capacityTokens * ADMISSIBLE_CAPACITY_FRACTION - 1000,
+      ],
       ...others.map(c => [c.path[0].server.address, c.capacityTokens]),
     ];
     this.loads.release(path[0].server.address, Infinity);
