--- a/packages/core/src/core/ids/ids.ts
+++ b/packages/core/src/core/ids/ids.ts
@@ -14,6 +14,8 @@
 export type ServiceId = Branded<string, 'ServiceId'>;
 export type ModelId = Branded<string, 'ModelId'>;
 export type ChainId = Branded<string, 'ChainId'>;
+/** Id of a part of a prompt; requests with equal parts share the id. */
+export type PromptPartId = Branded<string, 'PromptPartId'>;
 export type InstanceId = Branded<string, 'InstanceId'>;
 export type ConfigVersion = Branded<number, 'ConfigVersion'>;
 export type PlanVersion = Branded<number, 'PlanVersion'>;
--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -3,7 +3,7 @@
  * values, and calls to the store and to the servers. An adapter implements
  * them; it translates formats and makes no decisions.
  */
-import type {ServerId} from '@azurecrank/core';
+import type {PromptPartId, ServerId} from '@azurecrank/core';
 import type {
   BackendServer,
   LayerRange,
@@ -29,6 +29,11 @@
   readonly maxAnswerTokens: number;
   /** The caller's estimate of the tokens of the answer. */
   readonly expectedAnswerTokens: number | undefined;
+  /**
+   * Parts of the prompt that other requests may share, in their order. The part
+   * that belongs to the request or its session is left out.
+   */
+  readonly sharedPromptParts: readonly PromptPartId[];
 }
 
 /** Metadata of a request that is sent to a server with the caller's headers. */
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -663,6 +663,7 @@
       atMs === undefined ? undefined : Math.round(atMs - receivedAtMs);
     this.options.logger.info(message, {
       ...this.exchange.logFields(),
+      promptParts: this.exchange.metadata.sharedPromptParts.join(','),
       path: formatPath(this.path),
       attempts: this.attempts,
       repaths: this.repaths,
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -186,6 +186,7 @@
   promptTokens: 700,
   maxAnswerTokens: 200,
   expectedAnswerTokens: 170,
+  sharedPromptParts: [],
 };
 
 const ROUTE: Route = {
--- a/packages/forwarding/test/routing_test.ts
+++ b/packages/forwarding/test/routing_test.ts
@@ -41,6 +41,7 @@
   promptTokens: 0,
   maxAnswerTokens: 0,
   expectedAnswerTokens: undefined,
+  sharedPromptParts: [],
 };
 
 describe('RouteIndex', () => {
