--- /dev/null
+++ b/packages/forwarding/test/crashing_prompt_fleet.ts
@@ -0,0 +1,565 @@
+/**
+ * Entries in front of one fleet of servers. A server ends when it begins to
+ * answer a prompt with the crashing part; it starts again some seconds later.
+ * Requests reach the entries at random.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  Logger,
+  Metrics,
+  type PromptPartId,
+  type RequestId,
+  type ServerId,
+  type WorkspaceId,
+} from '@azurecrank/core';
+import {
+  CallerExchange,
+  ChainLoads,
+  FleetView,
+  ModelAdmission,
+  PathFailureDetector,
+  PeerQueues,
+  ServerControl,
+  SharedRetryBudget,
+  StreamRelay,
+  Upstream,
+  WireCodec,
+  type BackendServer,
+  type CallerMetadata,
+  type Exchange,
+  type HealthCheckResult,
+  type OrderOutcome,
+  type RawHeaders,
+  type ResponseMetadata,
+  type ServerAddress,
+  type ServerReport,
+  type UpstreamHandlers,
+  type UpstreamRequest,
+  type WaitingRequest,
+} from '@azurecrank/forwarding';
+import {RefusalSender} from 'azurecrank';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
+import {FakeResponse, ROUTE, flushPromises} from './relay_harness.js';
+
+const STEP_MS = 10;
+const CHECK_INTERVAL_MS = 20;
+const QUEUE_INTERVAL_MS = 30;
+/** Interval at which entries report to each other. */
+const REPORT_INTERVAL_MS = 200;
+/** Interval at which entries check the servers that they suspect. */
+const MARKED_CHECK_INTERVAL_MS = 1000;
+
+const MIN_FIRST_TOKEN_MS = 40;
+const MAX_FIRST_TOKEN_MS = 250;
+const EVENT_INTERVAL_MS = 50;
+const EVENTS = 60;
+/** Time from the first token of a crashing prompt to the end of its server. */
+const MIN_CRASH_DELAY_MS = 20;
+const MAX_CRASH_DELAY_MS = 100;
+/** Time after which the store shows that a server has ended. */
+const REGISTRATION_LAG_MS = 1500;
+const MIN_DOWN_MS = 2500;
+const MAX_DOWN_MS = 5000;
+
+const COST_TOKENS = 860;
+const REQUEST_TIMEOUT_MS = 20_000;
+const MAX_WAIT_MS = 425;
+
+/** Part of the prompt that ends servers. */
+export const CRASHING_PART = 'crash' as PromptPartId;
+/** First part that requests with and without the crashing part share. */
+export const SHARED_FIRST_PART = 'first-0' as PromptPartId;
+const FIRST_PARTS = 60;
+const MIDDLE_PARTS = 200;
+
+export interface Traffic {
+  readonly soundPerSecond: number;
+  readonly crashingPerSecond: number;
+}
+
+interface SimulatedRequest {
+  readonly id: RequestId;
+  readonly parts: readonly PromptPartId[];
+  readonly sentAtMs: number;
+  /** Number of times that the request reached a server. */
+  arrivals: number;
+  /** Whether its first attempt brought an event. */
+  hasBegunAtOnce: boolean;
+}
+
+interface Run extends Exchange {
+  readonly request: SimulatedRequest;
+  readonly handlers: UpstreamHandlers;
+  isOver: boolean;
+}
+
+interface ServerState {
+  server: BackendServer;
+  isUp: boolean;
+  readonly runs: Set<Run>;
+}
+
+export class CrashingPromptFleet {
+  nowMs = 0;
+  /** Times at which a server ended because of a prompt. */
+  readonly crashAtMs: number[] = [];
+  /** Times at which requests with the crashing part reached a server. */
+  readonly crashingArrivalAtMs: number[] = [];
+  readonly requests: SimulatedRequest[] = [];
+  readonly entries: Entry[];
+  private readonly servers = new Map<ServerAddress, ServerState>();
+  private readonly timers = new Map<number, Array<() => void>>();
+  private readonly generator;
+  private incarnations = 0;
+
+  constructor(seed: number, entryCount: number) {
+    this.generator = xoroshiro128plus(seed);
+    for (const server of laidOutFleet()) {
+      this.servers.set(server.address, {server, isUp: true, runs: new Set()});
+    }
+    this.entries = Array.from(
+      {length: entryCount},
+      (_, i) => new Entry(`entry-${i}`, this),
+    );
+  }
+
+  /** Lets time pass while requests arrive. */
+  async advance(durationMs: number, traffic: Traffic): Promise<void> {
+    const endMs = this.nowMs + durationMs;
+    const stepS = STEP_MS / 1000;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      const due = this.timers.get(this.nowMs) ?? [];
+      this.timers.delete(this.nowMs);
+      for (const run of due) run();
+      if (this.random() < traffic.soundPerSecond * stepS) this.arrive(false);
+      if (this.random() < traffic.crashingPerSecond * stepS) this.arrive(true);
+      this.runEntries();
+      await flushPromises();
+    }
+  }
+
+  /** Replaces an entry by one that knows nothing, as after a restart. */
+  restartEntry(index: number): void {
+    this.entries[index].stop();
+    this.entries[index] = new Entry(`entry-${index}`, this);
+  }
+
+  /** Ends a server for a reason other than a prompt. */
+  endServer(index: number): void {
+    const firsts = this.entries[0].admission
+      .currentChains()
+      .map(({path}) => path[0].server.address);
+    const state = this.servers.get(firsts[index % firsts.length]);
+    if (state?.isUp) this.end(state);
+  }
+
+  /** Time of the fifth end of a server because of a prompt. */
+  get fifthCrashAtMs(): number {
+    return this.crashAtMs[4] ?? Infinity;
+  }
+
+  /** Fraction of the requests in a span whose first attempt brought an event. */
+  fractionBegun(
+    fromMs: number,
+    toMs: number,
+    isCounted: (parts: readonly PromptPartId[]) => boolean,
+  ): number {
+    const counted = this.requests.filter(
+      ({sentAtMs, parts}) =>
+        sentAtMs >= fromMs &&
+        sentAtMs < toMs &&
+        !parts.includes(CRASHING_PART) &&
+        isCounted(parts),
+    );
+    const begun = counted.filter(({hasBegunAtOnce}) => hasBegunAtOnce);
+    return begun.length / counted.length;
+  }
+
+  get registered(): BackendServer[] {
+    return [...this.servers.values()].map(({server}) => server);
+  }
+
+  isUp(address: ServerAddress): boolean {
+    return this.servers.get(address)?.isUp ?? false;
+  }
+
+  startedAtMs(address: ServerAddress): number {
+    return this.servers.get(address)?.server.startedAtMs ?? 0;
+  }
+
+  after(delayMs: number, run: () => void): void {
+    const steps = Math.max(1, Math.round(delayMs / STEP_MS));
+    const atMs = this.nowMs + steps * STEP_MS;
+    const due = this.timers.get(atMs) ?? [];
+    due.push(run);
+    this.timers.set(atMs, due);
+  }
+
+  /** Delivers a request of an entry to a server. */
+  send(
+    address: ServerAddress,
+    request: SimulatedRequest,
+    handlers: UpstreamHandlers,
+  ): Exchange {
+    const run: Run = {
+      request,
+      handlers,
+      isOver: false,
+      wasSent: true,
+      abort: () => {
+        run.isOver = true;
+        this.servers.get(address)?.runs.delete(run);
+      },
+      pause: () => {},
+      resume: () => {},
+    };
+    this.after(STEP_MS, () => this.receive(address, run));
+    return run;
+  }
+
+  private receive(address: ServerAddress, run: Run): void {
+    if (run.isOver) return;
+    const state = this.servers.get(address);
+    if (!state?.isUp) {
+      run.isOver = true;
+      const cause = 'ECONNREFUSED: connect ECONNREFUSED';
+      return run.handlers.onFailure({cause, mayHaveRun: false});
+    }
+    run.request.arrivals++;
+    const crashes = run.request.parts.includes(CRASHING_PART);
+    if (crashes) this.crashingArrivalAtMs.push(this.nowMs);
+    state.runs.add(run);
+    this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
+      if (run.isOver) return;
+      run.handlers.onHead(200, []);
+      if (!crashes) return this.sendEvent(state, run, 1);
+      const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
+      this.after(delayMs, () => {
+        if (run.isOver) return;
+        this.crashAtMs.push(this.nowMs);
+        this.end(state);
+      });
+    });
+  }
+
+  private sendEvent(state: ServerState, run: Run, number: number): void {
+    if (run.isOver) return;
+    if (run.request.arrivals === 1) run.request.hasBegunAtOnce = true;
+    run.handlers.onData(Buffer.from(`id: ${number}\ndata: t\n\n`));
+    if (number < EVENTS) {
+      return this.after(EVENT_INTERVAL_MS, () =>
+        this.sendEvent(state, run, number + 1),
+      );
+    }
+    run.isOver = true;
+    state.runs.delete(run);
+    run.handlers.onEnd();
+  }
+
+  /** Ends a server with all its requests; it starts again with another id. */
+  private end(state: ServerState): void {
+    state.isUp = false;
+    const lost = [...state.runs];
+    state.runs.clear();
+    for (const run of lost) {
+      if (run.isOver) continue;
+      run.isOver = true;
+      run.handlers.onFailure({cause: 'other side closed', mayHaveRun: true});
+    }
+    const old = state.server.server;
+    this.after(REGISTRATION_LAG_MS, () => {
+      for (const {fleet} of this.entries) fleet.remove(old);
+    });
+    this.after(this.between(MIN_DOWN_MS, MAX_DOWN_MS), () => {
+      const server = `again-${this.incarnations++}` as ServerId;
+      state.server = {...state.server, server, startedAtMs: this.nowMs};
+      state.isUp = true;
+      for (const {fleet} of this.entries) fleet.put(state.server, this.nowMs);
+    });
+  }
+
+  private arrive(crashes: boolean): void {
+    const parts: PromptPartId[] = [];
+    const first = Math.floor(FIRST_PARTS * this.random() ** 2);
+    const middle = Math.floor(MIDDLE_PARTS * this.random());
+    if (crashes) parts.push(SHARED_FIRST_PART, CRASHING_PART);
+    else parts.push(`first-${first}` as PromptPartId);
+    if (this.random() < 0.5) parts.push(`middle-${middle}` as PromptPartId);
+    const request: SimulatedRequest = {
+      id: `r${this.requests.length}` as RequestId,
+      parts,
+      sentAtMs: this.nowMs,
+      arrivals: 0,
+      hasBegunAtOnce: false,
+    };
+    this.requests.push(request);
+    const index = Math.floor(this.random() * this.entries.length);
+    this.entries[index].receiveRequest(request);
+  }
+
+  private runEntries(): void {
+    const {nowMs} = this;
+    this.entries.forEach((entry, i) => {
+      // Entries act at times of their own.
+      const atMs = nowMs + i * STEP_MS;
+      if (atMs % CHECK_INTERVAL_MS === 0) entry.checkStreams();
+      if (atMs % QUEUE_INTERVAL_MS === 0) entry.processQueue();
+      if (atMs % REPORT_INTERVAL_MS === 0) this.sendReport(entry);
+      if (atMs % MARKED_CHECK_INTERVAL_MS === 0) entry.checkMarkedServers();
+    });
+  }
+
+  private sendReport(from: Entry): void {
+    for (const to of this.entries) if (to !== from) to.receiveReportOf(from);
+  }
+
+  private between(min: number, max: number): number {
+    return min + this.random() * (max - min);
+  }
+
+  private random(): number {
+    return uniformFloat64(this.generator);
+  }
+}
+
+/** Passes the request's own headers through. */
+class SimulatedWire extends WireCodec {
+  override parseCallerHeaders(): CallerMetadata {
+    throw new Error('requests of the simulation have no headers');
+  }
+
+  override toServerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+
+  override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
+    const notRun = headers.includes('not-run');
+    return {request: '', notRun, faultyAddress: undefined};
+  }
+
+  override toCallerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+}
+
+class SimulatedControl extends ServerControl {
+  constructor(private readonly simulation: CrashingPromptFleet) {
+    super();
+  }
+
+  override async fetchReport(address: ServerAddress): Promise<ServerReport> {
+    if (!this.simulation.isUp(address)) {
+      throw new Error('ECONNREFUSED: connect ECONNREFUSED');
+    }
+    const server = this.simulation.registered.find(s => s.address === address);
+    return {
+      layers: server?.layers,
+      isBusy: false,
+      orderSequence: 0,
+      startedAtMs: this.simulation.startedAtMs(address),
+      slowdownFactor: 1,
+      reloadingLayerTokens: undefined,
+      stalled: [],
+    };
+  }
+
+  override async checkHealth(
+    address: ServerAddress,
+  ): Promise<HealthCheckResult> {
+    return this.simulation.isUp(address) ? 'healthy' : 'silent';
+  }
+
+  override async placeLayers(): Promise<OrderOutcome> {
+    return {kind: 'accepted'};
+  }
+
+  override async repath(): Promise<OrderOutcome> {
+    return {kind: 'missing'};
+  }
+}
+
+/** Sends the requests of an entry to the simulated servers. */
+class SimulatedUpstream extends Upstream {
+  readonly requests = new Map<string, SimulatedRequest>();
+
+  constructor(private readonly simulation: CrashingPromptFleet) {
+    super();
+  }
+
+  override send(
+    {address, headers}: UpstreamRequest,
+    handlers: UpstreamHandlers,
+  ): Exchange {
+    const request = this.requests.get(headers[1]);
+    if (!request) throw new Error('request is unknown');
+    return this.simulation.send(address, request, handlers);
+  }
+}
+
+class Entry {
+  readonly loads = new ChainLoads();
+  readonly peerQueues = new PeerQueues();
+  readonly fleet = new FleetView();
+  readonly admission: ModelAdmission;
+  private readonly budget = new SharedRetryBudget(-Infinity, {
+    ratio: 0.2,
+    extraRetries: 390,
+    windowMs: 10_000,
+  });
+  private readonly streams = new Set<StreamRelay>();
+  private readonly upstream: SimulatedUpstream;
+  private readonly failureDetector: PathFailureDetector;
+  private readonly metrics = new Metrics();
+  private readonly logger = new Logger('test', 'silent');
+  private readonly control: SimulatedControl;
+  private isStopped = false;
+
+  constructor(
+    readonly node: string,
+    private readonly simulation: CrashingPromptFleet,
+  ) {
+    const nowMs = () => simulation.nowMs;
+    for (const server of simulation.registered) {
+      if (simulation.isUp(server.address)) this.fleet.put(server, nowMs());
+    }
+    this.upstream = new SimulatedUpstream(simulation);
+    this.control = new SimulatedControl(simulation);
+    this.admission = new ModelAdmission({
+      service: SERVICE,
+      availabilityZone: 'river',
+      fleet: this.fleet,
+      loads: this.loads,
+      peerQueues: this.peerQueues,
+      model: () => MODEL,
+      nowMs,
+      onChainsChanged: () => {},
+    });
+    this.failureDetector = new PathFailureDetector({
+      control: this.control,
+      fleet: this.fleet,
+      logger: this.logger,
+      nowMs,
+      wasPaused: () => false,
+      healthPathOf: () => '/health',
+      hasEventSince: () => false,
+      onServerLost: () => {},
+    });
+  }
+
+  receiveRequest(request: SimulatedRequest): void {
+    const {simulation, admission} = this;
+    const {nowMs} = simulation;
+    this.upstream.requests.set(request.id, request);
+    const exchange = this.createExchange(request);
+    const accepted = {
+      route: ROUTE,
+      workspace: undefined,
+      priority: 0,
+      rank: 'urgent' as const,
+      stripsApiKey: true,
+      table: {
+        version: 1,
+        routes: [],
+        services: new Map(),
+        limits: {
+          maxHeaderBytes: 1,
+          maxBodyBytes: 1,
+          headerTimeoutMs: 1,
+          idleTimeoutMs: 1,
+        },
+        workspaces: undefined,
+      },
+      body: undefined,
+      deadlineAtMs: nowMs + REQUEST_TIMEOUT_MS,
+    };
+    exchange.accepted = accepted;
+    const item: WaitingRequest = {
+      request: request.id,
+      workspace: 'w' as WorkspaceId,
+      weight: 1,
+      rank: 'urgent',
+      costTokens: COST_TOKENS,
+      deadlineAtMs: accepted.deadlineAtMs,
+      firstTokenDeadlineAtMs: nowMs + MAX_WAIT_MS,
+      enqueuedAtMs: nowMs,
+      admit: chain => relay.start(chain),
+      refuse: (reason, afterMs) => relay.refuse(reason, afterMs),
+    };
+    const relay = new StreamRelay(exchange, accepted, item, MODEL, admission, {
+      service: SERVICE,
+      upstream: this.upstream,
+      wire: new SimulatedWire(),
+      control: this.control,
+      fleet: this.fleet,
+      failureDetector: this.failureDetector,
+      loads: this.loads,
+      budget: this.budget,
+      refusals: new RefusalSender(this.metrics, this.logger),
+      metrics: this.metrics,
+      logger: this.logger,
+      nowMs: () => simulation.nowMs,
+      onFinished: finished => this.streams.delete(finished),
+    });
+    this.budget.recordRequest(SERVICE, nowMs);
+    this.streams.add(relay);
+    admission.enqueue(item);
+  }
+
+  checkStreams(): void {
+    for (const stream of [...this.streams]) stream.tick(this.simulation.nowMs);
+  }
+
+  processQueue(): void {
+    this.fleet.expire(this.simulation.nowMs);
+    this.admission.processQueue();
+  }
+
+  checkMarkedServers(): void {
+    void this.failureDetector.checkMarkedServers();
+  }
+
+  receiveReportOf(peer: Entry): void {
+    if (this.isStopped || peer.isStopped) return;
+    const {nowMs} = this.simulation;
+    this.loads.setPeerUsage(peer.node, peer.loads.ownUsedTokens(), nowMs);
+    this.peerQueues.setQueues(peer.node, [peer.admission.queues()], nowMs);
+    for (const address of peer.fleet.ownSuspicions()) {
+      this.fleet.suspectFromPeer(address, nowMs);
+    }
+  }
+
+  /** Ends the process with all its requests. */
+  stop(): void {
+    this.isStopped = true;
+    for (const stream of this.streams) {
+      stream.failInternally('the process was killed');
+    }
+  }
+
+  private createExchange({id, parts}: SimulatedRequest): CallerExchange {
+    const req = {
+      rawHeaders: ['request', id],
+      method: 'POST',
+      url: '/draft/1',
+      complete: true,
+    };
+    return new CallerExchange(
+      req as unknown as IncomingMessage,
+      new FakeResponse() as unknown as ServerResponse,
+      {
+        request: id,
+        deadlineMs: REQUEST_TIMEOUT_MS,
+        key: undefined,
+        lastEventId: undefined,
+        promptTokens: COST_TOKENS,
+        maxAnswerTokens: 200,
+        expectedAnswerTokens: undefined,
+        sharedPromptParts: parts,
+      },
+      this.simulation.nowMs,
+    );
+  }
+}
--- /dev/null
+++ b/packages/forwarding/test/crashing_prompts_test.ts
@@ -0,0 +1,90 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  CRASHING_PART,
+  CrashingPromptFleet,
+  SHARED_FIRST_PART,
+} from './crashing_prompt_fleet.js';
+
+const SEEDS = [1, 2, 3, 4];
+const ENTRY_COUNTS = [8, 48];
+
+const SOUND = {soundPerSecond: 20, crashingPerSecond: 0};
+const CRASHING = {soundPerSecond: 20, crashingPerSecond: 6};
+
+/** Requests that may reach servers once a part counts as crashing. */
+const MAX_LATE_ARRIVALS = 3;
+/** Time from the fifth crash after which arrivals count. */
+const CONTACT_MS = 3000;
+/** Least share of the usual service that sound requests must keep. */
+const MIN_SOUND_SHARE = 0.5;
+
+/** Arrivals of crashing prompts later than the time from the fifth crash. */
+function lateArrivals(fleet: CrashingPromptFleet): number {
+  const fromMs = fleet.fifthCrashAtMs + CONTACT_MS;
+  return fleet.crashingArrivalAtMs.filter(atMs => atMs > fromMs).length;
+}
+
+describe('prompts that end servers', () => {
+  for (const entries of ENTRY_COUNTS) {
+    for (const seed of SEEDS) {
+      describe(`at ${entries} entries (seed ${seed})`, () => {
+        // Guards against requests with one part ending server after server
+        // (incident 7).
+        it(`stop reaching servers: ${entries} entries, seed ${seed}`, async () => {
+          const fleet = new CrashingPromptFleet(seed, entries);
+          await fleet.advance(5000, SOUND);
+          await fleet.advance(20_000, CRASHING);
+          expect(fleet.crashAtMs.length).toBeGreaterThan(1);
+          expect(lateArrivals(fleet)).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+        });
+
+        // Guards against refusing the neighbours of such requests
+        // (incident 7).
+        it(`leave sound requests with the same first part alone: ${entries} entries, seed ${seed}`, async () => {
+          const fleet = new CrashingPromptFleet(seed, entries);
+          await fleet.advance(10_000, SOUND);
+          const isNeighbour = (parts: readonly string[]) =>
+            parts.includes(SHARED_FIRST_PART);
+          const before = fleet.fractionBegun(0, 10_000, isNeighbour);
+          await fleet.advance(30_000, CRASHING);
+          const lastMs = fleet.crashAtMs[4] ?? fleet.crashAtMs.at(-1) ?? 0;
+          const fromMs = lastMs + 2 * CONTACT_MS;
+          const after = fleet.fractionBegun(fromMs, 40_000, isNeighbour);
+          expect(after).toBeGreaterThanOrEqual(MIN_SOUND_SHARE * before);
+        });
+      });
+    }
+  }
+
+  it('are no longer served once an entry has been restarted', async () => {
+    const fleet = new CrashingPromptFleet(5, 8);
+    await fleet.advance(5000, SOUND);
+    await fleet.advance(10_000, CRASHING);
+    const fromMs = fleet.nowMs;
+    fleet.restartEntry(0);
+    fleet.restartEntry(1);
+    await fleet.advance(15_000, CRASHING);
+    const arrivals = fleet.crashingArrivalAtMs.filter(atMs => atMs > fromMs);
+    expect(arrivals.length).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+  });
+
+  // Guards against blaming parts for servers that end for other reasons.
+  it('are not found among sound prompts while servers end by themselves', async () => {
+    const fleet = new CrashingPromptFleet(6, 8);
+    await fleet.advance(10_000, SOUND);
+    const before = fleet.fractionBegun(0, 10_000, () => true);
+    for (let i = 0; i < 12; i++) {
+      fleet.endServer(i);
+      if (i % 3 === 0) fleet.endServer(i + 1);
+      await fleet.advance(1500, SOUND);
+    }
+    const fromMs = fleet.nowMs + 2 * CONTACT_MS;
+    await fleet.advance(16_000, SOUND);
+    const after = fleet.fractionBegun(fromMs, fleet.nowMs - 1000, () => true);
+    expect(after).toBeGreaterThanOrEqual(before * 0.9);
+    expect(fleet.requests.some(r => r.parts.includes(CRASHING_PART))).toEqual(
+      false,
+    );
+  });
+});
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -189,7 +189,7 @@
   sharedPromptParts: [],
 };
 
-const ROUTE: Route = {
+export const ROUTE: Route = {
   name: 'draft',
   host: 'shop.example',
   pathPrefix: '/draft/',
