--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -4,6 +4,7 @@
 import {
   Logger,
   Metrics,
+  type PromptPartId,
   type RequestId,
   type ServiceId,
   type WorkspaceId,
@@ -133,10 +134,13 @@
   unresponsive = new Set<ServerAddress>();
   /** Servers whose next response is lost. */
   unresponsiveOnce = new Set<ServerAddress>();
+  /** Servers whose host refuses connections. */
+  refusingConnections = new Set<ServerAddress>();
   /** Server that all reports name as stalling requests. */
   stalledAt: ServerAddress | undefined;
 
   override async fetchReport(address: ServerAddress): Promise<ServerReport> {
+    if (this.refusingConnections.has(address)) throw new Error('ECONNREFUSED');
     const isSilent = this.unresponsive.has(address);
     if (this.unresponsiveOnce.delete(address) || isSilent) {
       throw new Error('no response');
@@ -230,7 +234,11 @@
   /** Time of the last event of any stream through any server. */
   lastEventAtMs = -Infinity;
 
-  constructor(route: Partial<Route> = {}) {
+  constructor(
+    route: Partial<Route> = {},
+    promptParts: readonly string[] = [],
+    readonly quarantine = new PromptQuarantine(() => {}),
+  ) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
     const logger = new Logger('test', 'silent');
     const metrics = new Metrics();
@@ -264,7 +272,7 @@
     const exchange = new CallerExchange(
       req as unknown as IncomingMessage,
       this.res as unknown as ServerResponse,
-      CALLER_FACTS,
+      {...CALLER_FACTS, sharedPromptParts: promptParts as PromptPartId[]},
       this.nowMs,
     );
     const accepted = {
@@ -316,7 +324,7 @@
         loads: this.loads,
         service: SERVICE,
         budget: this.budget,
-        quarantine: new PromptQuarantine(() => {}),
+        quarantine: this.quarantine,
         refusals: new RefusalSender(metrics, logger),
         metrics,
         logger,
