--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -58,6 +58,11 @@
   readonly notRun: boolean;
   /** The server on the path that failed, if the response names one. */
   readonly faultyAddress: ServerAddress | undefined;
+  /**
+   * Requests a second that the server takes from all entries together, as long
+   * as its responses say so; undefined if it names no limit.
+   */
+  readonly requestLimitPerS: number | undefined;
 }
 
 /** Translates between the HTTP headers of a platform and metadata. */
--- a/packages/forwarding/test/crashing_prompts_test.ts
+++ b/packages/forwarding/test/crashing_prompts_test.ts
@@ -1,10 +1,6 @@
 import {before, describe, it} from 'node:test';
 import {expect} from 'earl';
-import {
-  CRASHING_PART,
-  CrashingPromptFleet,
-  SHARED_FIRST_PART,
-} from './crashing_prompt_fleet.js';
+import {CRASHING_PART, StreamFleet, SHARED_FIRST_PART} from './stream_fleet.js';
 
 const SEEDS = [1, 2, 3, 4];
 const ENTRY_COUNTS = [8, 48];
@@ -20,7 +16,7 @@
 const MIN_SOUND_SHARE = 0.5;
 
 /** Arrivals of crashing prompts later than the time from the fifth crash. */
-function lateArrivals(fleet: CrashingPromptFleet): number {
+function lateArrivals(fleet: StreamFleet): number {
   const fromMs = fleet.fifthCrashAtMs + CONTACT_MS;
   return fleet.crashingArrivalAtMs.filter(atMs => atMs > fromMs).length;
 }
@@ -29,7 +25,7 @@
   for (const entries of ENTRY_COUNTS) {
     for (const seed of SEEDS) {
       describe(`at ${entries} entries (seed ${seed})`, () => {
-        const fleet = new CrashingPromptFleet(seed, entries);
+        const fleet = new StreamFleet(seed, entries);
         const CRASHING_FROM_MS = 10_000;
         const END_MS = 40_000;
 
@@ -61,7 +57,7 @@
   }
 
   it('are no longer served once an entry has been restarted', async () => {
-    const fleet = new CrashingPromptFleet(5, 8);
+    const fleet = new StreamFleet(5, 8);
     await fleet.advance(5000, SOUND);
     await fleet.advance(10_000, CRASHING);
     const fromMs = fleet.nowMs;
@@ -74,7 +70,7 @@
 
   // Guards against blaming parts for servers that end for other reasons.
   it('are not found among sound prompts while servers end by themselves', async () => {
-    const fleet = new CrashingPromptFleet(6, 8);
+    const fleet = new StreamFleet(6, 8);
     await fleet.advance(10_000, SOUND);
     const usual = fleet.fractionBegun(0, 10_000, () => true);
     for (let i = 0; i < 12; i++) {
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -120,6 +120,7 @@
       request: REQUEST,
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
+      requestLimitPerS: undefined,
     };
   }
 
--- a/packages/forwarding/test/crashing_prompt_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -1,7 +1,8 @@
 /**
- * Entries in front of one fleet of servers. A server ends when it begins to
- * answer a prompt with the crashing part; it starts again some seconds later.
- * Requests reach the entries at random.
+ * Entries that relay streams to one fleet of servers. A server ends when it
+ * begins to answer a prompt with the crashing part; it starts again some seconds
+ * later. Servers can name a limit on their requests. Requests reach the entries
+ * at random.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
@@ -70,6 +71,8 @@
 const REQUEST_TIMEOUT_MS = 20_000;
 const MAX_WAIT_MS = 425;
 
+const LIMIT_HEADER = 'limit';
+
 /** Part of the prompt that ends servers. */
 export const CRASHING_PART = 'crash' as PromptPartId;
 /** First part that requests with and without the crashing part share. */
@@ -93,19 +96,33 @@
 }
 
 interface Run extends Exchange {
+  readonly entry: string;
   readonly request: SimulatedRequest;
   readonly handlers: UpstreamHandlers;
   isOver: boolean;
 }
 
+/** A request that reached a server. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly entry: string;
+}
+
 interface ServerState {
   server: BackendServer;
   isUp: boolean;
   readonly runs: Set<Run>;
+  /** Headers of all responses. */
+  headers: string[];
+  readonly arrivals: Arrival[];
 }
 
-export class CrashingPromptFleet {
+export class StreamFleet {
   nowMs = 0;
+  /** Number of entries that get requests; all if undefined. */
+  callersAt: number | undefined;
+  /** Whether entries hear of each other. */
+  areEntriesConnected = true;
   /** Times at which a server ended because of a prompt. */
   readonly crashAtMs: number[] = [];
   /** Times at which requests with the crashing part reached a server. */
@@ -120,7 +137,13 @@
   constructor(seed: number, entryCount: number) {
     this.generator = xoroshiro128plus(seed);
     for (const server of laidOutFleet()) {
-      this.servers.set(server.address, {server, isUp: true, runs: new Set()});
+      this.servers.set(server.address, {
+        server,
+        isUp: true,
+        runs: new Set(),
+        headers: [],
+        arrivals: [],
+      });
     }
     this.entries = Array.from(
       {length: entryCount},
@@ -152,13 +175,31 @@
 
   /** Ends a server for a reason other than a prompt. */
   endServer(index: number): void {
-    const firsts = this.entries[0].admission
-      .currentChains()
-      .map(({path}) => path[0].server.address);
+    const firsts = this.firstServers();
     const state = this.servers.get(firsts[index % firsts.length]);
     if (state?.isUp) this.end(state);
   }
 
+  /** Makes the first server of each chain name a limit in its responses. */
+  nameLimits(requestsPerS: number | undefined): void {
+    for (const address of this.firstServers()) {
+      const state = this.servers.get(address);
+      if (!state) continue;
+      state.headers =
+        requestsPerS === undefined ? [] : [LIMIT_HEADER, `${requestsPerS}`];
+    }
+  }
+
+  firstServers(): ServerAddress[] {
+    return this.entries[0].admission
+      .currentChains()
+      .map(({path}) => path[0].server.address);
+  }
+
+  arrivalsAt(address: ServerAddress): readonly Arrival[] {
+    return this.servers.get(address)?.arrivals ?? [];
+  }
+
   /** Time of the fifth end of a server because of a prompt. */
   get fifthCrashAtMs(): number {
     return this.crashAtMs[4] ?? Infinity;
@@ -204,10 +245,12 @@
   /** Delivers a request of an entry to a server. */
   send(
     address: ServerAddress,
+    entry: string,
     request: SimulatedRequest,
     handlers: UpstreamHandlers,
   ): Exchange {
     const run: Run = {
+      entry,
       request,
       handlers,
       isOver: false,
@@ -232,12 +275,13 @@
       return run.handlers.onFailure({cause, mayHaveRun: false});
     }
     run.request.arrivals++;
+    state.arrivals.push({atMs: this.nowMs, entry: run.entry});
     const crashes = run.request.parts.includes(CRASHING_PART);
     if (crashes) this.crashingArrivalAtMs.push(this.nowMs);
     state.runs.add(run);
     this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
       if (run.isOver) return;
-      run.handlers.onHead(200, []);
+      run.handlers.onHead(200, state.headers);
       if (!crashes) return this.sendEvent(state, run, 1);
       const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
       this.after(delayMs, () => {
@@ -299,7 +343,8 @@
       hasBegunAtOnce: false,
     };
     this.requests.push(request);
-    const index = Math.floor(this.random() * this.entries.length);
+    const callers = this.callersAt ?? this.entries.length;
+    const index = Math.floor(this.random() * callers);
     this.entries[index].receiveRequest(request);
   }
 
@@ -316,7 +361,7 @@
   }
 
   sendReport(from: Entry): void {
-    if (from.isStopped) return;
+    if (from.isStopped || !this.areEntriesConnected) return;
     const report = from.createReport();
     for (const to of this.entries) if (to !== from) to.receiveReport(report);
   }
@@ -341,8 +386,15 @@
   }
 
   override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
-    const notRun = headers.includes('not-run');
-    return {request: '', notRun, faultyAddress: undefined};
+    const limit = headers[headers.indexOf(LIMIT_HEADER) + 1];
+    return {
+      request: '',
+      notRun: headers.includes('not-run'),
+      faultyAddress: undefined,
+      requestLimitPerS: headers.includes(LIMIT_HEADER)
+        ? Number(limit)
+        : undefined,
+    };
   }
 
   override toCallerHeaders(headers: RawHeaders): string[] {
@@ -351,7 +403,7 @@
 }
 
 class SimulatedControl extends ServerControl {
-  constructor(private readonly simulation: CrashingPromptFleet) {
+  constructor(private readonly simulation: StreamFleet) {
     super();
   }
 
@@ -390,7 +442,10 @@
 class SimulatedUpstream extends Upstream {
   readonly requests = new Map<string, SimulatedRequest>();
 
-  constructor(private readonly simulation: CrashingPromptFleet) {
+  constructor(
+    private readonly simulation: StreamFleet,
+    private readonly node: string,
+  ) {
     super();
   }
 
@@ -400,7 +455,7 @@
   ): Exchange {
     const request = this.requests.get(headers[1]);
     if (!request) throw new Error('request is unknown');
-    return this.simulation.send(address, request, handlers);
+    return this.simulation.send(address, this.node, request, handlers);
   }
 }
 
@@ -429,13 +484,13 @@
 
   constructor(
     readonly node: string,
-    private readonly simulation: CrashingPromptFleet,
+    private readonly simulation: StreamFleet,
   ) {
     const nowMs = () => simulation.nowMs;
     for (const server of simulation.registered) {
       if (simulation.isUp(server.address)) this.fleet.put(server, nowMs());
     }
-    this.upstream = new SimulatedUpstream(simulation);
+    this.upstream = new SimulatedUpstream(simulation, node);
     this.control = new SimulatedControl(simulation);
     this.admission = new ModelAdmission({
       service: SERVICE,
