Divide the limit that a server names among all entries

Servers that name a limit got 89 to 94 requests in 4 s where 50 are allowed, since no entry read it and each knows its own requests alone. Entries now report the limits and their requests to each other. What is left is divided among those with requests waiting; a share below one request is a chance to send one, so that 48 entries use a limit of 7.5 a second to 0.7 and more. An entry that hears of no other uses its part alone. Plain calls without a server that takes them are refused at once.

--- a/packages/core/src/core/errors/errors_data.ts
+++ b/packages/core/src/core/errors/errors_data.ts
@@ -130,6 +130,12 @@
     hint: 'Check the plan with `azurecrank status`.',
     retryAfterS: 2,
   },
+  server_limit_reached: {
+    status: 503,
+    title: 'All servers have reached the limits that they name',
+    hint: 'Send fewer requests, or find out what slows the servers down.',
+    retryAfterS: 1,
+  },
   shed_for_higher_rank: {
     status: 503,
     title: 'Dropped from a full queue in favour of a higher rank',
--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -361,6 +361,13 @@
   >;
   /** Parts that others suspect, with the age of the last answer seen here. */
   readonly answeredParts?: ReadonlyArray<readonly [string, number]>;
+  /**
+   * Servers that name a limit on their requests: address, requests a second in
+   * their last response to this entry (-1 if it named none), age of that
+   * response in milliseconds (-1 without one), and the requests of this entry
+   * within the window of the limit. Absent in the reports of earlier releases.
+   */
+  readonly limits?: ReadonlyArray<readonly [string, number, number, number]>;
   /** Whether the entry is stopping and takes no new tasks. */
   readonly isStopping: boolean;
   /** Highest fencing number of layout orders that the entry knows. */
--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -3,6 +3,7 @@
  * exactly, those of other entries as last reported. Pure; times are arguments.
  */
 import type {ServerAddress} from '../fleet/backend_server.js';
+import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {ServerChain} from '../paths/find_chains.js';
 
 /** Maximum age of the usage reported by a peer; older reports are dropped. */
@@ -47,6 +48,9 @@
   private readonly peerUsages = new Map<string, PeerUsage>();
   private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
 
+  /** @param limits limits that servers name; none by default */
+  constructor(private readonly limits?: Pick<SharedServerLimits, 'maySend'>) {}
+
   /** Tokens reserved by this entry, by the first server of the chain. */
   ownUsedTokens(): Record<string, number> {
     return Object.fromEntries(this.ownTokensByFirst);
@@ -130,9 +134,10 @@
 
   /** Tokens that the chain can still admit; 0 while it gets no request. */
   freeTokens(chain: ServerChain, nowMs: number): number {
-    const first = chain.path[0].server.address;
+    const {address: first, service} = chain.path[0].server;
     const refusing = this.refusingChains.get(first);
     if (refusing && nowMs < refusing.closedUntilMs) return 0;
+    if (this.limits && !this.limits.maySend(first, service, nowMs)) return 0;
     const admissible = chain.capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
     return Math.max(0, admissible - this.usedTokens(first, nowMs));
   }
--- a/packages/forwarding/src/core/admission/peer_queues.ts
+++ b/packages/forwarding/src/core/admission/peer_queues.ts
@@ -49,9 +49,14 @@
 
   /** Whether requests of the service wait at other entries. */
   isContended(service: ServiceId, nowMs: number): boolean {
-    return this.recentQueues(service, nowMs).some(({ranks}) =>
-      ranks.some(({tokens}) => tokens > 0),
-    );
+    return this.waitingPeers(service, nowMs) > 0;
+  }
+
+  /** Number of other entries at which requests of the service wait. */
+  waitingPeers(service: ServiceId, nowMs: number): number {
+    const queues = this.recentQueues(service, nowMs);
+    return queues.filter(({ranks}) => ranks.some(({tokens}) => tokens > 0))
+      .length;
   }
 
   /**
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -22,6 +22,10 @@
 import type {PeerQueues, ServiceQueues} from '../admission/peer_queues.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView, HeldLayers} from '../fleet/fleet_view.js';
+import type {
+  ServerLimitReport,
+  SharedServerLimits,
+} from '../limits/shared_server_limits.js';
 import type {CrashId, PromptPartKey} from '../quarantine/crash_evidence.js';
 import type {
   PromptQuarantine,
@@ -39,6 +43,7 @@
   readonly loads: ChainLoads;
   readonly retryBudget: SharedRetryBudget;
   readonly quarantine: PromptQuarantine;
+  readonly limits: SharedServerLimits;
   readonly fleet: FleetView;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -176,6 +181,7 @@
         s.trialLeftMs,
       ]),
       answeredParts: answered,
+      limits: this.options.limits.report(nowMs()).map(toLimitTuple),
       isStopping: this.options.isStopping(),
       layoutFence: this.options.layoutFence(),
     };
@@ -226,6 +232,11 @@
       (message.retries ?? []).map(toRetryCounts),
       now,
     );
+    this.options.limits.setPeerReport(
+      link.name,
+      (message.limits ?? []).map(fromLimitTuple),
+      now,
+    );
     this.options.quarantine.applyPeerReport(toQuarantineReport(message), now);
     this.lastSharesByPeer.set(link.name, {
       atMs: now,
@@ -306,6 +317,27 @@
   };
 }
 
+type LimitTuple = NonNullable<EntryReport['limits']>[number];
+
+function toLimitTuple({
+  address,
+  limitPerS = -1,
+  ageMs = -1,
+  sends,
+}: ServerLimitReport): LimitTuple {
+  return [address, limitPerS, ageMs, sends];
+}
+
+function fromLimitTuple(tuple: LimitTuple): ServerLimitReport {
+  const [address, limitPerS, ageMs, sends] = tuple;
+  return {
+    address,
+    limitPerS: limitPerS < 0 ? undefined : limitPerS,
+    ageMs: ageMs < 0 ? undefined : ageMs,
+    sends,
+  };
+}
+
 function toQuarantineReport({
   suspectParts = [],
   answeredParts = [],
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -41,6 +41,7 @@
   PathFailureDetector,
 } from '../relay/path_failure_detector.js';
 import {HttpUpstream} from '../relay/upstream.js';
+import {SharedServerLimits} from '../limits/shared_server_limits.js';
 import {
   PromptQuarantine,
   type QuarantineChange,
@@ -103,7 +104,8 @@
   private readonly disposables = new DisposableStore();
   private readonly logger: Logger;
   private readonly fleet = new FleetView();
-  private readonly loads = new ChainLoads();
+  private readonly limits: SharedServerLimits;
+  private readonly loads: ChainLoads;
   private readonly peerQueues = new PeerQueues();
   private readonly callBalancer = new CallLoadBalancer();
   private readonly admissions = new Map<ServiceId, ModelAdmission>();
@@ -134,8 +136,20 @@
   ) {
     const {node, logLevel, availabilityZone} = settings;
     this.logger = new Logger(node, logLevel, writeLine);
-    const {logger, metrics, fleet, loads} = this;
+    const {logger, metrics, fleet} = this;
     declareProcessMetrics(metrics, 'entry');
+    this.limits = new SharedServerLimits({
+      node,
+      entryCount: () => this.directory.entryCount,
+      waitingPeers: (service, nowMs) =>
+        this.peerQueues.waitingPeers(service, nowMs),
+      onChange: (peer, limitPerS) => {
+        logger.info('server names another limit', {peer, limitPerS});
+        this.broadcastSoon();
+      },
+    });
+    const loads = new ChainLoads(this.limits);
+    this.loads = loads;
     const nowMs = () => performance.now();
     this.tableHolder = new TableHolder(adapter.store, logger, table =>
       this.applyTable(table),
@@ -165,6 +179,7 @@
         loads,
         retryBudget: this.retryBudget,
         quarantine: this.quarantine,
+        limits: this.limits,
         fleet,
         logger,
         nowMs,
@@ -188,6 +203,7 @@
       wire: adapter.wire,
       fleet,
       budget: this.retryBudget,
+      limits: this.limits,
       refusals,
       metrics,
       logger,
@@ -476,9 +492,9 @@
   /** Informs the dependents of the fleet that its servers have changed. */
   private handleFleetChange(): void {
     const servers = [...this.fleet.all()];
-    this.callBalancer.retainServers(
-      new Set(servers.map(({address}) => address)),
-    );
+    const addresses = new Set(servers.map(({address}) => address));
+    this.callBalancer.retainServers(addresses);
+    this.limits.retainServers(addresses);
     this.mesh.broadcastShares();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -6,6 +6,7 @@
   refuse,
   type Logger,
   type Metrics,
+  type RefusalReason,
   type ServiceId,
 } from '@azurecrank/core';
 import type {RefusalSender} from 'azurecrank';
@@ -17,6 +18,7 @@
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeResponse} from '../gateway/write_response.js';
+import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {CallLoadBalancer} from './call_load_balancer.js';
 import {
@@ -33,6 +35,7 @@
   readonly fleet: FleetView;
   readonly balancer: CallLoadBalancer;
   readonly budget: SharedRetryBudget;
+  readonly limits: SharedServerLimits;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -90,8 +93,9 @@
     const {options, accepted, exchange} = this;
     const nowMs = options.nowMs();
     const server = this.selectServer(nowMs);
-    if (!server) return this.refuseNotRun('no untried server is available');
+    if (!server) return this.refuseWithoutServer(nowMs);
     this.server = server;
+    options.limits.recordSend(server.address, nowMs);
     this.sentAtMs = nowMs;
     this.attempts++;
     this.triedServers.add(server.address);
@@ -121,11 +125,21 @@
     this.startAttemptTimer(remainingMs);
   }
 
-  /** Prefers usable servers; falls back to suspected or refusing ones. */
+  /**
+   * Prefers usable servers; falls back to suspected or refusing ones. Leaves out
+   * servers that take no more requests for now.
+   */
   private selectServer(nowMs: number): BackendServer | undefined {
-    const {fleet, balancer, availabilityZone} = this.options;
+    const {fleet, balancer, availabilityZone, limits} = this.options;
     const select = (candidates: BackendServer[]) =>
-      balancer.select(candidates, this.triedServers, availabilityZone, nowMs);
+      balancer.select(
+        candidates.filter(({address, service}) =>
+          limits.maySend(address, service, nowMs),
+        ),
+        this.triedServers,
+        availabilityZone,
+        nowMs,
+      );
     return (
       select(fleet.usable(this.service)) ??
       select(fleet.nonLeaving(this.service))
@@ -142,7 +156,9 @@
       onHead: (code, headers) => {
         status = code;
         head = [...headers];
-        const metadata = this.options.wire.parseResponse(code, head);
+        const {wire, limits, nowMs} = this.options;
+        const metadata = wire.parseResponse(code, head);
+        limits.observe(request.address, metadata.requestLimitPerS, nowMs());
         const isMismatched =
           metadata.request !== '' && metadata.request !== this.exchange.request;
         if (isMismatched)
@@ -280,16 +296,35 @@
     });
   }
 
+  /** Ends a call for which there is no server, or none with a request left. */
+  private refuseWithoutServer(nowMs: number): void {
+    const {fleet, limits} = this.options;
+    const untried = fleet
+      .usable(this.service)
+      .filter(({address}) => !this.triedServers.has(address));
+    if (untried.length === 0)
+      return this.refuseNotRun('no untried server is available');
+    const retryAfterMs = Math.min(
+      ...untried.map(({address}) => limits.retryAfterMs(address, nowMs)),
+    );
+    const detail = 'all servers have reached the limits that they name';
+    this.refuseNotRun(detail, 'server_limit_reached', retryAfterMs);
+  }
+
   /** Ends the call with a refusal if no attempt can have run. */
-  private refuseNotRun(cause: string): void {
+  private refuseNotRun(
+    cause: string,
+    reason: RefusalReason = 'no_server',
+    retryAfterMs = RETRY_AFTER_MS,
+  ): void {
     if (this.isFinished) return;
     if (this.lastResponse) return this.deliver(this.lastResponse);
     if (this.mayHaveRun) return this.failUnknown({kind: 'broken'});
     this.isFinished = true;
-    const refusal = refuse('no_server', 'call', {
+    const refusal = refuse(reason, 'call', {
       detail: cause,
       peer: this.server?.address,
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs,
     });
     this.options.refusals.refuse(this.exchange, refusal);
   }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -35,6 +35,7 @@
   type ServerPath,
 } from '../paths/server_path.js';
 import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
+import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {
@@ -58,6 +59,7 @@
   readonly failureDetector: PathFailureDetector;
   readonly loads: ChainLoads;
   readonly budget: SharedRetryBudget;
+  readonly limits: SharedServerLimits;
   readonly quarantine: PromptQuarantine;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
@@ -272,20 +274,22 @@
       },
       accepted.stripsApiKey,
     );
+    const {address} = path[0].server;
+    options.limits.recordSend(address, now);
     this.upstream = options.upstream.send(
       {
-        address: path[0].server.address,
+        address,
         method: exchange.method,
         target: exchange.target,
         headers,
         body: accepted.body,
         isSingleUse: false,
       },
-      this.createHandlers(),
+      this.createHandlers(address),
     );
   }
 
-  private createHandlers() {
+  private createHandlers(first: ServerAddress) {
     let status = 0;
     let head: string[] = [];
     const failureBody: Buffer[] = [];
@@ -294,7 +298,9 @@
       onHead: (code: number, headers: readonly string[]) => {
         status = code;
         head = [...headers];
-        const metadata = this.options.wire.parseResponse(code, head);
+        const {wire, limits, nowMs} = this.options;
+        const metadata = wire.parseResponse(code, head);
+        limits.observe(first, metadata.requestLimitPerS, nowMs());
         const isMismatched =
           metadata.request !== '' && metadata.request !== this.exchange.request;
         if (isMismatched) {
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -17,6 +17,7 @@
   PathFailureDetector,
   PeerQueues,
   PromptQuarantine,
+  SharedServerLimits,
   SharedRetryBudget,
   ServerControl,
   StreamRelay,
@@ -218,7 +219,13 @@
 export class RelayHarness {
   nowMs = 1000;
   readonly fleet = new FleetView();
-  readonly loads = new ChainLoads();
+  readonly limits = new SharedServerLimits({
+    node: 'entry',
+    entryCount: () => 1,
+    waitingPeers: () => 0,
+    onChange: () => {},
+  });
+  readonly loads = new ChainLoads(this.limits);
   readonly upstream = new FakeUpstream();
   readonly budget = new SharedRetryBudget(-Infinity, {
     ratio: 0.2,
@@ -326,6 +333,7 @@
         service: SERVICE,
         budget: this.budget,
         quarantine: this.quarantine,
+        limits: this.limits,
         refusals: new RefusalSender(metrics, logger),
         metrics,
         logger,
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -21,6 +21,7 @@
   PathFailureDetector,
   PeerQueues,
   PromptQuarantine,
+  SharedServerLimits,
   ServerControl,
   SharedRetryBudget,
   StreamRelay,
@@ -460,7 +461,8 @@
 }
 
 class Entry {
-  readonly loads = new ChainLoads();
+  private readonly limits: SharedServerLimits;
+  readonly loads: ChainLoads;
   readonly peerQueues = new PeerQueues();
   readonly fleet = new FleetView();
   readonly admission: ModelAdmission;
@@ -469,11 +471,7 @@
     extraRetries: 390,
     windowMs: 10_000,
   });
-  private readonly quarantine = new PromptQuarantine(() =>
-    this.simulation.after(PEER_LATENCY_MS, () =>
-      this.simulation.sendReport(this),
-    ),
-  );
+  private readonly quarantine = new PromptQuarantine(() => this.reportSoon());
   private readonly streams = new Set<StreamRelay>();
   private readonly upstream: SimulatedUpstream;
   private readonly failureDetector: PathFailureDetector;
@@ -490,6 +488,14 @@
     for (const server of simulation.registered) {
       if (simulation.isUp(server.address)) this.fleet.put(server, nowMs());
     }
+    this.limits = new SharedServerLimits({
+      node,
+      entryCount: () => simulation.entries.length,
+      waitingPeers: (service, atMs) =>
+        this.peerQueues.waitingPeers(service, atMs),
+      onChange: () => this.reportSoon(),
+    });
+    this.loads = new ChainLoads(this.limits);
     this.upstream = new SimulatedUpstream(simulation, node);
     this.control = new SimulatedControl(simulation);
     this.admission = new ModelAdmission({
@@ -563,6 +569,7 @@
       loads: this.loads,
       budget: this.budget,
       quarantine: this.quarantine,
+      limits: this.limits,
       refusals: new RefusalSender(this.metrics, this.logger),
       metrics: this.metrics,
       logger: this.logger,
@@ -587,6 +594,12 @@
     void this.failureDetector.checkMarkedServers();
   }
 
+  private reportSoon(): void {
+    this.simulation.after(PEER_LATENCY_MS, () =>
+      this.simulation.sendReport(this),
+    );
+  }
+
   createReport() {
     const {nowMs} = this.simulation;
     return {
@@ -595,16 +608,18 @@
       queues: this.admission.queues(),
       suspected: this.fleet.ownSuspicions(),
       quarantine: this.quarantine.report(nowMs),
+      limits: this.limits.report(nowMs),
     };
   }
 
   receiveReport(report: ReturnType<Entry['createReport']>): void {
     if (this.isStopped) return;
     const {nowMs} = this.simulation;
-    const {node, usedTokens, queues, suspected, quarantine} = report;
+    const {node, usedTokens, queues, suspected, quarantine, limits} = report;
     this.loads.setPeerUsage(node, usedTokens, nowMs);
     this.peerQueues.setQueues(node, [queues], nowMs);
     this.quarantine.applyPeerReport(quarantine, nowMs);
+    this.limits.setPeerReport(node, limits, nowMs);
     for (const address of suspected) {
       this.fleet.suspectFromPeer(address, nowMs);
     }
