Read events without an id at the end of a chunk

A caller lost its stream when a server sent an event without an id, such as a comment, and nothing behind it: the search for the id read past the end of the buffer and threw a RangeError, which counts as the loss of the server. The search stops at the end of the event. The new test failed with that error before.

--- a/packages/forwarding/src/core/relay/event_splitter.ts
+++ b/packages/forwarding/src/core/relay/event_splitter.ts
@@ -102,7 +102,8 @@
   let line = start;
   while (line < end) {
     const lineEnd = bytes.indexOf(LINE_FEED, line);
-    if (bytes.compare(ID_FIELD, 0, 3, line, line + 3) === 0) {
+    const nameEnd = Math.min(line + ID_FIELD.length, end);
+    if (bytes.compare(ID_FIELD, 0, ID_FIELD.length, line, nameEnd) === 0) {
       const id = Number(bytes.toString('latin1', line + 3, lineEnd).trim());
       return Number.isSafeInteger(id) ? id : -1;
     }
--- a/packages/forwarding/test/event_splitter_test.ts
+++ b/packages/forwarding/test/event_splitter_test.ts
@@ -39,6 +39,16 @@
     expect(bytes.toString()).toEqual(event(3));
   });
 
+  // Guards against streams that are lost because of an event without an id at
+  // the end of what was received.
+  it('passes events without an id at the end of a chunk', () => {
+    const splitter = new EventSplitter();
+    for (const text of ['data: x\n\n', ': ping\n\n', event(1)]) {
+      expect(splitter.push(Buffer.from(text)).bytes.toString()).toEqual(text);
+    }
+    expect(splitter.lastEventId).toEqual(1);
+  });
+
   it('accepts CRLF line ends', () => {
     const splitter = new EventSplitter();
     const text = 'id: 7\r\ndata: x\r\n\r\n';
