Do not take streams that their server broke off for complete

A stream may come with neither a length nor chunks and end with its connection, as it does when the server's process ends. Callers then got part of a stream as a whole one; so they did for streams that may not be resumed and ended within an event, and for streams without any event. A server that ended a response of unknown length is now asked whether it lives; in the other cases the stream counts as broken off.

--- a/packages/forwarding/src/core/relay/event_splitter.ts
+++ b/packages/forwarding/src/core/relay/event_splitter.ts
@@ -44,13 +44,6 @@
     this.partial = undefined;
   }
 
-  /** Removes and returns the bytes of the incomplete event. */
-  flushPartial(): Buffer | undefined {
-    const {partial} = this;
-    this.partial = undefined;
-    return partial;
-  }
-
   /**
    * Adds received bytes and returns the events that they complete.
    * @throws EventTooLargeError
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -101,6 +101,12 @@
 
 const HTTP_OK = 200;
 
+/** Headers that say where a body ends; without them its connection ends it. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'transfer-encoding',
+]);
+
 export class StreamRelay {
   private splitter: EventSplitter;
   private upstream: Exchange | undefined;
@@ -317,8 +323,10 @@
         else this.abandonServer('error response exceeds 1 MiB');
       },
       onEnd: () => {
-        if (status === HTTP_OK) this.complete();
-        else this.handleErrorResponse(status, head, Buffer.concat(failureBody));
+        if (status !== HTTP_OK)
+          this.handleErrorResponse(status, head, Buffer.concat(failureBody));
+        else if (hasKnownLength(head)) this.complete();
+        else this.completeIfServerLives();
       },
       onFailure: ({cause, mayHaveRun}: {cause: string; mayHaveRun: boolean}) =>
         this.handleServerLoss(cause, mayHaveRun),
@@ -376,16 +384,35 @@
     res.once('drain', () => upstream?.resume());
   }
 
+  /**
+   * Completes a response that ended with its connection, unless the server has
+   * ended too: an end of the process closes connections like a complete answer.
+   */
+  private completeIfServerLives(): void {
+    const {path, upstream} = this;
+    if (path.length === 0) return;
+    this.options.failureDetector
+      .hasEnded(path[0].server)
+      .then(hasEnded => {
+        if (this.isFinished || this.upstream !== upstream) return;
+        if (hasEnded)
+          this.handleServerLoss('server ended with its response', true);
+        else this.complete();
+      })
+      .catch(error => this.failInternally(error));
+  }
+
   private complete(): void {
-    if (this.splitter.hasPartial && this.accepted.route.isResumable) {
+    if (this.splitter.hasPartial) {
       return this.handleServerLoss(
         'server ended the stream within an event',
         true,
       );
     }
+    if (this.splitter.lastEventId < 0 && this.firstEventAtMs === undefined) {
+      return this.handleServerLoss('server ended an empty stream', true);
+    }
     const {res} = this.exchange;
-    const rest = this.splitter.flushPartial();
-    if (rest) res.write(rest);
     res.end();
     this.promptGuard.recordSurvival();
     this.finish();
@@ -732,3 +759,11 @@
     });
   }
 }
+
+/** Whether the headers of a response say where its body ends. */
+function hasKnownLength(headers: readonly string[]): boolean {
+  return headers.some((name, i) => {
+    if (i % 2 !== 0) return false;
+    return FRAMING_HEADERS.has(name.toLowerCase());
+  });
+}
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -391,9 +391,14 @@
     }
   }
 
-  /** Makes the entry receive the response head from the server. */
-  receiveHead(): void {
-    this.lastSent.handlers.onHead(200, ['content-type', 'text/event-stream']);
+  /**
+   * Makes the entry receive the response head from the server.
+   * @param framing headers that say where the body ends; without them it ends
+   *     with the connection
+   */
+  receiveHead(framing = ['transfer-encoding', 'chunked']): void {
+    const headers = ['content-type', 'text/event-stream', ...framing];
+    this.lastSent.handlers.onHead(200, headers);
   }
 
   /** Records a refusal of every chain at the current time. */
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -72,6 +72,7 @@
 const REQUEST_TIMEOUT_MS = 20_000;
 const MAX_WAIT_MS = 425;
 
+const FRAMING = ['transfer-encoding', 'chunked'];
 const LIMIT_HEADER = 'limit';
 
 /** Part of the prompt that ends servers. */
@@ -142,7 +143,7 @@
         server,
         isUp: true,
         runs: new Set(),
-        headers: [],
+        headers: [...FRAMING],
         arrivals: [],
       });
     }
@@ -187,7 +188,9 @@
       const state = this.servers.get(address);
       if (!state) continue;
       state.headers =
-        requestsPerS === undefined ? [] : [LIMIT_HEADER, `${requestsPerS}`];
+        requestsPerS === undefined
+          ? [...FRAMING]
+          : [...FRAMING, LIMIT_HEADER, `${requestsPerS}`];
     }
   }
 
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -69,6 +69,51 @@
     });
   });
 
+  // Guards against answers that look complete although their server broke off.
+  describe('when the server ends the response', () => {
+    it('cuts a stream that may not be resumed if it ends within an event', async () => {
+      const harness = new RelayHarness({isResumable: false});
+      harness.receiveHead();
+      harness.receiveEvents(1);
+      harness.lastSent.handlers.onData(Buffer.from('id: 2\nda'));
+      harness.lastSent.handlers.onEnd();
+      await flushPromises();
+      expect(harness.res.writableFinished).toEqual(false);
+      expect(harness.res.destroyed).toEqual(true);
+    });
+
+    it('does not take a response without any event for complete', async () => {
+      const harness = new RelayHarness();
+      harness.receiveHead();
+      harness.lastSent.handlers.onEnd();
+      await flushPromises();
+      expect(harness.res.writableFinished).toEqual(false);
+      expect(harness.upstream.sent.length).toEqual(2);
+    });
+
+    it('resumes a response of unknown length if the server has ended', async () => {
+      const harness = new RelayHarness();
+      harness.receiveHead([]);
+      harness.receiveEvents(1, 2);
+      const {lastSent: sent} = harness;
+      harness.control.refusingConnections.add(sent.request.address);
+      sent.handlers.onEnd();
+      await flushPromises();
+      expect(harness.res.writableFinished).toEqual(false);
+      expect(harness.upstream.sent.length).toEqual(2);
+    });
+
+    it('completes a response of unknown length if the server lives', async () => {
+      const harness = new RelayHarness();
+      harness.receiveHead([]);
+      harness.receiveEvents(1, 2);
+      harness.lastSent.handlers.onEnd();
+      await flushPromises();
+      expect(harness.res.writableFinished).toEqual(true);
+      expect(harness.upstream.sent.length).toEqual(1);
+    });
+  });
+
   describe('when the first server is lost', () => {
     it('continues after the last complete event on another chain', () => {
       const harness = new RelayHarness();
