Ask for three chunks of an answer before a prompt counts as harmless

On a server that is several times slower than its kind, 250 ms after the first event a crashing prompt may still be about to end it, and would be cleared at all entries. The time to learn whether a server has ended is that of other reports now: a busy entry could miss the refused connection within 80 ms.

--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -159,7 +159,7 @@
   ): Promise<boolean> {
     const {control, fleet} = this.options;
     try {
-      const report = await control.fetchReport(address, PATH_PROBE_TIMEOUT_MS);
+      const report = await control.fetchReport(address, REPORT_TIMEOUT_MS);
       if (report.startedAtMs <= startedAtMs) return false;
       fleet.observe({server, ...report}, queriedAtMs);
       return true;
--- a/packages/forwarding/src/core/relay/prompt_guard.ts
+++ b/packages/forwarding/src/core/relay/prompt_guard.ts
@@ -20,12 +20,17 @@
   readonly nowMs: () => number;
 }
 
-/** Time from the first event of a run after which its server survived it. */
+/**
+ * A server has survived a run after this time from its first event and this
+ * number of chunks with events; on a slow server the time alone says little.
+ */
 const SURVIVED_AFTER_MS = 250;
+const SURVIVED_AFTER_CHUNKS = 3;
 
 export class PromptGuard {
   private readonly keys: readonly PromptPartKey[];
   private firstEventAtMs: number | undefined;
+  private chunksWithEvents = 0;
   private isTrial = false;
   /** Whether a server has survived this request, so that all others will. */
   private isHarmless = false;
@@ -52,18 +57,23 @@
   tryStartRun(): boolean {
     const {quarantine, nowMs} = this.options;
     this.firstEventAtMs = undefined;
+    this.chunksWithEvents = 0;
     if (this.isHarmless) return true;
     const decision = quarantine.tryStart(this.keys, nowMs());
     this.isTrial = decision === 'trial';
     return decision !== 'blocked';
   }
 
-  /** Records that the run had an event. */
-  recordEvent(): void {
+  /** Records a chunk with events of the run. */
+  recordEvents(): void {
     if (this.isHarmless) return;
     const now = this.options.nowMs();
     this.firstEventAtMs ??= now;
-    if (now - this.firstEventAtMs >= SURVIVED_AFTER_MS) this.recordSurvival();
+    this.chunksWithEvents++;
+    const hasSurvived =
+      now - this.firstEventAtMs >= SURVIVED_AFTER_MS &&
+      this.chunksWithEvents >= SURVIVED_AFTER_CHUNKS;
+    if (hasSurvived) this.recordSurvival();
   }
 
   /** Records that the server survived the run. */
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -374,7 +374,7 @@
       }
     }
     this.lastEventAtMs = now;
-    this.promptGuard.recordEvent();
+    this.promptGuard.recordEvents();
     this.options.failureDetector.recordEvent(this.path[0].server.address, now);
     const {res} = this.exchange;
     if (res.write(bytes)) return;
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -245,6 +245,19 @@
   });
 
   it('does not suspect a stream that has gone on before', async () => {
+    const harness = new RelayHarness({}, ['crash']);
+    harness.receiveHead();
+    harness.receiveEvents(1, 2);
+    harness.nowMs += 300;
+    harness.receiveEvents(3);
+    const lost = harness.pathAddresses()[0];
+    harness.control.refusingConnections.add(lost);
+    harness.lastSent.handlers.onFailure({cause: 'closed', mayHaveRun: true});
+    await flushPromises();
+    expect(harness.quarantine.report(harness.nowMs).suspects).toEqual([]);
+  });
+
+  it('suspects a stream that had only begun on a slow server', async () => {
     const harness = new RelayHarness({}, ['crash']);
     harness.receiveHead();
     harness.receiveEvents(1);
@@ -254,7 +267,8 @@
     harness.control.refusingConnections.add(lost);
     harness.lastSent.handlers.onFailure({cause: 'closed', mayHaveRun: true});
     await flushPromises();
-    expect(harness.quarantine.report(harness.nowMs).suspects).toEqual([]);
+    const {suspects} = harness.quarantine.report(harness.nowMs);
+    expect(suspects.map(({key}) => key)).toEqual([CRASHING]);
   });
 
   it('ends a run without an event once its part is blocked', async () => {
