--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -27,13 +27,8 @@
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeHead} from '../gateway/write_response.js';
-import {toChain, type ServerChain} from '../paths/find_chains.js';
-import {findPath} from '../paths/find_path.js';
-import {
-  formatPath,
-  type PathStage,
-  type ServerPath,
-} from '../paths/server_path.js';
+import type {ServerChain} from '../paths/find_chains.js';
+import {formatPath, type ServerPath} from '../paths/server_path.js';
 import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
@@ -47,8 +42,10 @@
 import {EventSplitter} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 import {PromptGuard} from './prompt_guard.js';
+import {ReplacementPaths} from './replacement_paths.js';
 import type {StreamProgress} from './stalled_paths.js';
-import type {Exchange, Upstream} from './upstream.js';
+import {createStreamHandlers, type ErrorResponse} from './stream_response.js';
+import type {Exchange, Upstream, UpstreamHandlers} from './upstream.js';
 
 export interface StreamRelayOptions {
   readonly service: ServiceId;
@@ -96,17 +93,8 @@
 /** Retry delay reported to the caller when no chain could run the request. */
 const NO_CHAIN_RETRY_AFTER_MS = 300;
 
-/** Maximum size of an error response, which is kept until it is complete. */
-const MAX_ERROR_BYTES = 1024 * 1024;
-
 const HTTP_OK = 200;
 
-/** Headers that say where a body ends; without them its connection ends it. */
-const FRAMING_HEADERS: ReadonlySet<string> = new Set([
-  'content-length',
-  'transfer-encoding',
-]);
-
 export class StreamRelay {
   private splitter: EventSplitter;
   private upstream: Exchange | undefined;
@@ -133,6 +121,7 @@
   private isFinished = false;
   private lastCause = '';
   private readonly promptGuard: PromptGuard;
+  private readonly replacements: ReplacementPaths;
   private readonly failedFirstServers = new Set<ServerAddress>();
   /** First servers that may have run the request. */
   private readonly mayHaveRunOn = new Set<ServerAddress>();
@@ -155,6 +144,13 @@
       failureDetector,
       nowMs,
     });
+    const {costTokens} = queuedRequest;
+    this.replacements = new ReplacementPaths(
+      model,
+      admission,
+      costTokens,
+      options,
+    );
     exchange.res.once('close', () => this.handleCallerDisconnect());
   }
 
@@ -217,11 +213,14 @@
     if (this.path.length === 0 || this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
-    if (this.suspectedServers().length > 0) {
+    if (this.replacements.suspectedServers(this.path).length > 0) {
       this.replaceSuspectedServers().catch(error => this.failInternally(error));
       return;
     }
-    if (nowMs >= this.migrateFromMs && this.impairedServers().length > 0) {
+    if (
+      nowMs >= this.migrateFromMs &&
+      this.replacements.impairedServers(this.path).length > 0
+    ) {
       // Once per attempt, at a time that differs between streams.
       this.migrateFromMs = Infinity;
       this.migrateFromImpairedServers().catch(error =>
@@ -295,42 +294,24 @@
     );
   }
 
-  private createHandlers(first: ServerAddress) {
-    let status = 0;
-    let head: string[] = [];
-    const failureBody: Buffer[] = [];
-    let failureBytes = 0;
-    return {
-      onHead: (code: number, headers: readonly string[]) => {
-        status = code;
-        head = [...headers];
-        const {wire, limits, nowMs} = this.options;
-        const metadata = wire.parseResponse(code, head);
-        limits.observe(first, metadata.requestLimitPerS, nowMs());
-        const isMismatched =
-          metadata.request !== '' && metadata.request !== this.exchange.request;
-        if (isMismatched) {
-          return this.abandonServer(
-            'response carries the id of another request',
-          );
-        }
-        if (code === HTTP_OK) this.forwardHead(head);
-      },
-      onData: (chunk: Buffer) => {
-        if (status === HTTP_OK) this.forwardEvents(chunk);
-        else if ((failureBytes += chunk.length) <= MAX_ERROR_BYTES)
-          failureBody.push(chunk);
-        else this.abandonServer('error response exceeds 1 MiB');
-      },
-      onEnd: () => {
-        if (status !== HTTP_OK)
-          this.handleErrorResponse(status, head, Buffer.concat(failureBody));
-        else if (hasKnownLength(head)) this.complete();
+  private createHandlers(first: ServerAddress): UpstreamHandlers {
+    const {wire, limits, nowMs} = this.options;
+    return createStreamHandlers({
+      wire,
+      request: this.exchange.request,
+      onMetadata: ({requestLimitPerS}) =>
+        limits.observe(first, requestLimitPerS, nowMs()),
+      onHead: headers => this.forwardHead(headers),
+      onData: chunk => this.forwardEvents(chunk),
+      onEnd: isLengthKnown => {
+        if (isLengthKnown) this.complete();
         else this.completeIfServerLives();
       },
-      onFailure: ({cause, mayHaveRun}: {cause: string; mayHaveRun: boolean}) =>
+      onErrorResponse: response => this.handleErrorResponse(response),
+      onInvalidResponse: cause => this.abandonServer(cause),
+      onFailure: ({cause, mayHaveRun}) =>
         this.handleServerLoss(cause, mayHaveRun),
-    };
+    });
   }
 
   /** Forwards the response head of the first server that responds. */
@@ -423,11 +404,7 @@
    * Handles a complete response other than 200: continues elsewhere if the
    * request has not run, else forwards the response to the caller.
    */
-  private handleErrorResponse(
-    status: number,
-    headers: string[],
-    body: Buffer,
-  ): void {
+  private handleErrorResponse({status, headers, body}: ErrorResponse): void {
     const {wire, failureDetector} = this.options;
     const {notRun, faultyAddress} = wire.parseResponse(status, headers);
     const first = this.path[0].server.address;
@@ -600,13 +577,6 @@
     this.refuse('crashing_prompt', retryAfterMs);
   }
 
-  private suspectedServers(): ServerAddress[] {
-    const {fleet} = this.options;
-    return this.path
-      .map(({server}) => server.address)
-      .filter(address => fleet.isSuspected(address));
-  }
-
   /** Replaces the suspected servers of the path, or abandons the path. */
   private async replaceSuspectedServers(): Promise<void> {
     const {fleet} = this.options;
@@ -614,7 +584,7 @@
     if (fleet.isSuspected(first.server.address)) {
       return this.abandonServer('the first server does not answer');
     }
-    const path = this.findReplacementPath(first);
+    const path = this.replacements.find(this.path);
     if (!path)
       return this.abandonServer('no suitable replacement path in its zones');
     const outcome = await this.migrateTo(path);
@@ -624,23 +594,14 @@
 
   /** Migrates the stream away from servers that are draining or very slow. */
   private async migrateFromImpairedServers(): Promise<void> {
-    const impaired = this.impairedServers();
-    const path = this.findReplacementPath(this.path[0]);
+    const impaired = this.replacements.impairedServers(this.path);
+    const path = this.replacements.find(this.path);
     const usesImpaired = path?.some(({server}) =>
       impaired.includes(server.address),
     );
     if (path && !usesImpaired) await this.migrateTo(path);
   }
 
-  /** Servers of the path that drain, refuse requests or are very slow. */
-  private impairedServers(): ServerAddress[] {
-    const {fleet} = this.options;
-    return this.path
-      .map(({server}) => server)
-      .filter(s => fleet.takesNoNewRequests(s) || fleet.isVerySlow(s.address))
-      .map(({address}) => address);
-  }
-
   /**
    * Orders the first server to continue the request on another path.
    * @returns undefined if the stream ended or lost its server meanwhile
@@ -655,7 +616,7 @@
     if (this.isFinished || this.upstream !== upstream) return undefined;
     this.log('stream moved to another path', {
       outcome: outcome.kind,
-      suspected: this.suspectedServers().join(','),
+      suspected: this.replacements.suspectedServers(this.path).join(','),
       next: formatPath(path),
     });
     if (outcome.kind === 'accepted') {
@@ -666,34 +627,6 @@
     return outcome;
   }
 
-  /**
-   * Finds a path with the same first stage and without suspected servers. It
-   * stays within the availability zones of the current path, since its new
-   * stages process all tokens so far again. Returns undefined if there is none,
-   * or if it is overcommitted while another chain has free capacity.
-   */
-  private findReplacementPath(first: PathStage): ServerPath | undefined {
-    const {fleet, loads, nowMs} = this.options;
-    const zones = new Set(this.path.map(({server}) => server.availabilityZone));
-    const path = findPath({
-      model: this.model,
-      servers: fleet
-        .usable(first.server.service)
-        .filter(({availabilityZone}) => zones.has(availabilityZone)),
-      current: this.path,
-      firstStage: first,
-    });
-    if (!path) return undefined;
-    const chain = toChain(this.model, path);
-    const isOvercommitted = loads.usedFraction(chain, nowMs()) > 1;
-    const {costTokens} = this.queuedRequest;
-    const hasOtherChain = this.admission.hasFreeTokensElsewhere(
-      costTokens,
-      first.server.address,
-    );
-    return isOvercommitted && hasOtherChain ? undefined : path;
-  }
-
   private handleDeadline(): void {
     this.upstream?.abort();
     if (this.isHeadSent) {
@@ -759,11 +692,3 @@
     });
   }
 }
-
-/** Whether the headers of a response say where its body ends. */
-function hasKnownLength(headers: readonly string[]): boolean {
-  return headers.some((name, i) => {
-    if (i % 2 !== 0) return false;
-    return FRAMING_HEADERS.has(name.toLowerCase());
-  });
-}
