--- a/packages/forwarding/test/server_limits_test.ts
+++ b/packages/forwarding/test/server_limits_test.ts
@@ -1,5 +1,7 @@
 import {describe, it} from 'node:test';
+import {SharedServerLimits} from '@azurecrank/forwarding';
 import {expect} from 'earl';
+import {SERVICE} from './fleet_fixture.js';
 import {StreamFleet} from './stream_fleet.js';
 
 const SEEDS = [1, 2, 3];
@@ -108,3 +110,74 @@
     expect(begun).toBeGreaterThanOrEqual(0.9);
   });
 });
+
+describe('SharedServerLimits', () => {
+  const ADDRESS = '10.0.0.1:80';
+  const MINUTE_MS = 60_000;
+
+  function createLimits(node = 'entry', entryCount = 1): SharedServerLimits {
+    return new SharedServerLimits({
+      node,
+      entryCount: () => entryCount,
+      waitingPeers: () => 0,
+      onChange: () => {},
+    });
+  }
+
+  /** Sends as many requests as the limits allow; returns their number. */
+  function sendAll(
+    limits: SharedServerLimits,
+    fromMs: number,
+    durationMs: number,
+  ): number {
+    let sent = 0;
+    for (let ms = fromMs; ms < fromMs + durationMs; ms += 20) {
+      if (!limits.maySend(ADDRESS, SERVICE, ms)) continue;
+      limits.recordSend(ADDRESS, ms);
+      sent++;
+      limits.observe(ADDRESS, LIMIT_OF_ONE_IN_10_S, ms);
+    }
+    return sent;
+  }
+
+  const LIMIT_OF_ONE_IN_10_S = 0.1;
+
+  it('do not restrict servers that name no limit', () => {
+    const limits = createLimits();
+    limits.observe(ADDRESS, undefined, 0);
+    expect(limits.maySend(ADDRESS, SERVICE, 0)).toEqual(true);
+    expect(limits.report(0)).toEqual([]);
+  });
+
+  it('allow less than one request in the usual window', () => {
+    const limits = createLimits();
+    limits.observe(ADDRESS, LIMIT_OF_ONE_IN_10_S, 0);
+    const sent = sendAll(limits, 0, MINUTE_MS);
+    expect(sent).toBeGreaterThanOrEqual(4);
+    expect(sent).toBeLessThanOrEqual(7);
+  });
+
+  it('take the latest response that any entry had', () => {
+    const [a, b] = ['a', 'b'].map(node => createLimits(node, 2));
+    a.observe(ADDRESS, 0, 1000);
+    b.setPeerReport('a', a.report(1010), 1010);
+    expect(b.maySend(ADDRESS, SERVICE, 1010)).toEqual(false);
+    b.observe(ADDRESS, undefined, 1200);
+    a.setPeerReport('b', b.report(1210), 1210);
+    expect(a.maySend(ADDRESS, SERVICE, 1210)).toEqual(true);
+  });
+
+  it('forget a limit that no response has named for long', () => {
+    const limits = createLimits();
+    limits.observe(ADDRESS, 0, 0);
+    expect(limits.maySend(ADDRESS, SERVICE, 9000)).toEqual(false);
+    expect(limits.maySend(ADDRESS, SERVICE, 11_000)).toEqual(true);
+  });
+
+  it('forget servers that are gone', () => {
+    const limits = createLimits();
+    limits.observe(ADDRESS, 5, 0);
+    limits.retainServers(new Set());
+    expect(limits.report(0)).toEqual([]);
+  });
+});
