--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -16,22 +16,13 @@
 } from '@azurecrank/core';
 import {LeaseHolder, RefusalSender} from 'azurecrank';
 import polka, {type Request} from 'polka';
-import type {
-  PlatformAdapter,
-  StoreChange,
-} from '../adapter/platform_adapter.js';
+import type {PlatformAdapter} from '../adapter/platform_adapter.js';
 import {ChainLoads} from '../admission/chain_loads.js';
 import {ModelAdmission} from '../admission/model_admission.js';
 import {PeerQueues} from '../admission/peer_queues.js';
-import type {BackendServer} from '../fleet/backend_server.js';
 import {FleetView} from '../fleet/fleet_view.js';
-import {PrefixWatcher} from '../fleet/prefix_watcher.js';
 import {ForwardingGateway} from '../gateway/forwarding_gateway.js';
-import {
-  EntryDirectory,
-  LAYOUT_LEASE_KEY,
-  ENTRY_STORE_PREFIX,
-} from '../peers/entry_directory.js';
+import {EntryDirectory, LAYOUT_LEASE_KEY} from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
 import {formatPath} from '../paths/server_path.js';
 import {LayoutRunner} from '../placement/layout_runner.js';
@@ -51,6 +42,7 @@
 import type {RoutingTable} from '../routing/routing_table.js';
 import {TableHolder} from '../routing/table_holder.js';
 import type {ForwardingSettings} from './forwarding_settings.js';
+import {StoreWatchers} from './store_watchers.js';
 
 /** Interval at which queued requests are admitted or refused. */
 const QUEUE_INTERVAL_MS = 25;
@@ -67,24 +59,6 @@
 /** Interval at which a stopping process checks whether it has drained. */
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
-/**
- * Batch window for changes of the routing table. A new table must be in force
- * everywhere within 2 s.
- */
-const TABLE_BATCH_MS = 100;
-
-/**
- * Batch window for changes of the servers. A draining server must get no new
- * requests after 2 s.
- */
-const SERVERS_BATCH_MS = 300;
-
-/**
- * Batch window for changes of the entries. They are rare, and entries exchange
- * all other state directly.
- */
-const ENTRIES_BATCH_MS = 1000;
-
 /** Listen backlog for callers, which reconnect in bursts after an outage. */
 const CALLER_LISTEN_BACKLOG = 1024;
 
@@ -122,9 +96,8 @@
   private readonly pauses = new PauseMonitor();
   private callerServer: Server | undefined;
   private layoutRunner: LayoutRunner | undefined;
-  private serversFollower: PrefixWatcher | undefined;
+  private readonly storeWatchers: StoreWatchers;
   private stopBeganAtMs = Infinity;
-  private hasServerList = false;
   private isStopping = false;
   private boundPeerAddress = '' as PeerAddress;
 
@@ -249,6 +222,26 @@
         nowMs,
       }),
     );
+    this.storeWatchers = this.disposables.add(
+      new StoreWatchers({
+        adapter,
+        fleet,
+        tableHolder: this.tableHolder,
+        logger,
+        nowMs,
+        onServersChange: () => this.handleFleetChange(),
+        onEntriesSnapshot: snapshot => {
+          this.directory.applySnapshot(snapshot);
+          this.quarantineStore.applySnapshot(snapshot);
+          this.handleEntriesChange();
+        },
+        onEntriesChanges: changes => {
+          this.directory.applyChanges(changes);
+          this.quarantineStore.applyChanges(changes);
+          this.handleEntriesChange();
+        },
+      }),
+    );
     this.disposables.add(this.pauses);
   }
 
@@ -274,7 +267,7 @@
     );
     await health.listen(peerHost, metricsPort);
     this.mesh.setPeers(settings.seedPeers as PeerAddress[]);
-    this.watchStore();
+    this.storeWatchers.start();
     this.directory.start(this.boundPeerAddress);
     this.quarantineStore.start();
     this.startLayoutRunner();
@@ -338,7 +331,7 @@
     return (
       !this.isStopping &&
       this.tableHolder.view !== undefined &&
-      this.hasServerList
+      this.storeWatchers.hasServerList
     );
   }
 
@@ -375,57 +368,6 @@
     });
   }
 
-  private watchStore(): void {
-    const {store: codec, prefixes} = this.adapter;
-    const {logger} = this;
-    const nowMs = () => performance.now();
-    const common = {store: prefixes, logger, nowMs};
-    const applyTableChanges = (changes: readonly StoreChange[]) => {
-      for (const {key, value} of changes) {
-        if (key !== codec.tableKey || value === undefined) continue;
-        this.tableHolder.updateIfNewer(value, 'store');
-      }
-    };
-    const followers = [
-      new PrefixWatcher({
-        ...common,
-        prefix: codec.tablePrefix,
-        batchDelayMs: TABLE_BATCH_MS,
-        onSnapshot: ({entries}) => applyTableChanges(entries),
-        onChanges: applyTableChanges,
-      }),
-      new PrefixWatcher({
-        ...common,
-        prefix: codec.serversPrefix,
-        batchDelayMs: SERVERS_BATCH_MS,
-        onSnapshot: ({entries}, afterOutage) => {
-          const servers = entries.flatMap(entry => this.decodeServer(entry));
-          this.fleet.replaceAll(servers, nowMs(), afterOutage);
-          this.hasServerList = true;
-          this.handleFleetChange();
-        },
-        onChanges: changes => this.applyServerChanges(changes),
-      }),
-      new PrefixWatcher({
-        ...common,
-        prefix: ENTRY_STORE_PREFIX,
-        batchDelayMs: ENTRIES_BATCH_MS,
-        onSnapshot: snapshot => {
-          this.directory.applySnapshot(snapshot);
-          this.quarantineStore.applySnapshot(snapshot);
-          this.handleEntriesChange();
-        },
-        onChanges: changes => {
-          this.directory.applyChanges(changes);
-          this.quarantineStore.applyChanges(changes);
-          this.handleEntriesChange();
-        },
-      }),
-    ];
-    this.serversFollower = followers[1];
-    for (const follower of followers) this.disposables.add(follower).start();
-  }
-
   private handleEntriesChange(): void {
     this.mesh.setPeers(this.directory.entries);
     this.retryBudget.setEntryCount(this.directory.entryCount);
@@ -459,36 +401,6 @@
     });
   }
 
-  private applyServerChanges(changes: readonly StoreChange[]): void {
-    for (const {key, value} of changes) {
-      if (value === undefined) {
-        const server = this.adapter.store.serverIdOf(key);
-        this.fleet.remove(server);
-        this.logger.info('server removed', {server});
-        continue;
-      }
-      for (const server of this.decodeServer({key, value})) {
-        this.fleet.put(server, performance.now());
-      }
-    }
-    this.handleFleetChange();
-  }
-
-  /** Returns none for an unreadable entry and removes it from the fleet. */
-  private decodeServer(entry: {key: string; value: string}): BackendServer[] {
-    const {key, value} = entry;
-    const decoded = this.adapter.store.decodeServer(key, value);
-    if (decoded.kind === 'decoded') return [decoded.value];
-    const {step, cause} = decoded;
-    this.logger.warn('server entry is unreadable; the server is not used', {
-      key,
-      step,
-      cause,
-    });
-    this.fleet.remove(this.adapter.store.serverIdOf(key));
-    return [];
-  }
-
   /** Informs the dependents of the fleet that its servers have changed. */
   private handleFleetChange(): void {
     const servers = [...this.fleet.all()];
@@ -572,8 +484,8 @@
 
   /** Expires stale fleet state and processes the queues of all models. */
   private processQueues(): void {
-    const isStoreConnected = this.serversFollower?.isConnected ?? false;
-    this.fleet.expire(performance.now(), isStoreConnected);
+    const {isConnected} = this.storeWatchers;
+    this.fleet.expire(performance.now(), isConnected);
     for (const admission of this.admissions.values()) admission.processQueue();
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -0,0 +1,153 @@
+/** Watches what the store holds: routing table, backend servers and entries. */
+import {DisposableStore, type Logger} from '@azurecrank/core';
+import type {
+  PlatformAdapter,
+  StoreChange,
+  StoreSnapshot,
+} from '../adapter/platform_adapter.js';
+import type {BackendServer} from '../fleet/backend_server.js';
+import type {FleetView} from '../fleet/fleet_view.js';
+import {PrefixWatcher} from '../fleet/prefix_watcher.js';
+import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
+import type {TableHolder} from '../routing/table_holder.js';
+
+export interface StoreWatchersOptions {
+  readonly adapter: PlatformAdapter;
+  readonly fleet: FleetView;
+  readonly tableHolder: TableHolder;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Called after the servers of the fleet have changed. */
+  readonly onServersChange: () => void;
+  /** Called with all that entries have stored. */
+  readonly onEntriesSnapshot: (snapshot: StoreSnapshot) => void;
+  /** Called with changes of what entries have stored. */
+  readonly onEntriesChanges: (changes: readonly StoreChange[]) => void;
+}
+
+/**
+ * Batch window for changes of the routing table. A new table must be in force
+ * everywhere within 2 s.
+ */
+const TABLE_BATCH_MS = 100;
+
+/**
+ * Batch window for changes of the servers. A draining server must get no new
+ * requests after 2 s.
+ */
+const SERVERS_BATCH_MS = 300;
+
+/**
+ * Batch window for changes of the entries. They are rare, and entries exchange
+ * all other state directly.
+ */
+const ENTRIES_BATCH_MS = 1000;
+
+export class StoreWatchers implements Disposable {
+  private readonly disposables = new DisposableStore();
+  private readonly table: PrefixWatcher;
+  private readonly servers: PrefixWatcher;
+  private readonly entries: PrefixWatcher;
+  private isServerListRead = false;
+
+  constructor(private readonly options: StoreWatchersOptions) {
+    const {adapter, logger, nowMs, onEntriesSnapshot, onEntriesChanges} =
+      options;
+    const common = {store: adapter.prefixes, logger, nowMs};
+    this.table = this.disposables.add(
+      new PrefixWatcher({
+        ...common,
+        prefix: adapter.store.tablePrefix,
+        batchDelayMs: TABLE_BATCH_MS,
+        onSnapshot: ({entries}) => this.applyTableChanges(entries),
+        onChanges: changes => this.applyTableChanges(changes),
+      }),
+    );
+    this.servers = this.disposables.add(
+      new PrefixWatcher({
+        ...common,
+        prefix: adapter.store.serversPrefix,
+        batchDelayMs: SERVERS_BATCH_MS,
+        onSnapshot: (snapshot, afterOutage) =>
+          this.applyServers(snapshot, afterOutage),
+        onChanges: changes => this.applyServerChanges(changes),
+      }),
+    );
+    this.entries = this.disposables.add(
+      new PrefixWatcher({
+        ...common,
+        prefix: ENTRY_STORE_PREFIX,
+        batchDelayMs: ENTRIES_BATCH_MS,
+        onSnapshot: snapshot => onEntriesSnapshot(snapshot),
+        onChanges: changes => onEntriesChanges(changes),
+      }),
+    );
+  }
+
+  /** Whether the servers have been read since the start. */
+  get hasServerList(): boolean {
+    return this.isServerListRead;
+  }
+
+  /** Whether the registrations of servers can be read. */
+  get isConnected(): boolean {
+    return this.servers.isConnected;
+  }
+
+  start(): void {
+    for (const watcher of [this.table, this.servers, this.entries])
+      watcher.start();
+  }
+
+  [Symbol.dispose](): void {
+    this.disposables[Symbol.dispose]();
+  }
+
+  private applyTableChanges(changes: readonly StoreChange[]): void {
+    const {adapter, tableHolder} = this.options;
+    for (const {key, value} of changes) {
+      if (key !== adapter.store.tableKey || value === undefined) continue;
+      tableHolder.updateIfNewer(value, 'store');
+    }
+  }
+
+  private applyServers({entries}: StoreSnapshot, afterOutage: boolean): void {
+    const {fleet, nowMs, onServersChange} = this.options;
+    const servers = entries.flatMap(entry => this.decodeServer(entry));
+    fleet.replaceAll(servers, nowMs(), afterOutage);
+    this.isServerListRead = true;
+    onServersChange();
+  }
+
+  private applyServerChanges(changes: readonly StoreChange[]): void {
+    const {adapter, fleet, logger, nowMs, onServersChange} = this.options;
+    for (const {key, value} of changes) {
+      if (value === undefined) {
+        const server = adapter.store.serverIdOf(key);
+        fleet.remove(server);
+        logger.info('server removed', {server});
+        continue;
+      }
+      for (const server of this.decodeServer({key, value})) {
+        fleet.put(server, nowMs());
+      }
+    }
+    onServersChange();
+  }
+
+  /** Returns none for an unreadable entry and removes it from the fleet. */
+  private decodeServer(entry: {key: string; value: string}): BackendServer[] {
+    const {adapter, fleet, logger} = this.options;
+    const {key, value} = entry;
+    const decoded = adapter.store.decodeServer(key, value);
+    if (decoded.kind === 'decoded') return [decoded.value];
+    const {step, cause} = decoded;
+    logger.warn('server entry is unreadable; the server is not used', {
+      key,
+      step,
+      cause,
+    });
+    fleet.remove(adapter.store.serverIdOf(key));
+    return [];
+  }
+}
--- a/packages/forwarding/test/server_limits_test.ts
+++ b/packages/forwarding/test/server_limits_test.ts
@@ -114,6 +114,7 @@
 describe('SharedServerLimits', () => {
   const ADDRESS = '10.0.0.1:80';
   const MINUTE_MS = 60_000;
+  const LIMIT_OF_ONE_IN_10_S = 0.1;
 
   function createLimits(node = 'entry', entryCount = 1): SharedServerLimits {
     return new SharedServerLimits({
@@ -140,8 +141,6 @@
     return sent;
   }
 
-  const LIMIT_OF_ONE_IN_10_S = 0.1;
-
   it('do not restrict servers that name no limit', () => {
     const limits = createLimits();
     limits.observe(ADDRESS, undefined, 0);
