Feed streams until some wait at the head under test

The test starts 12 streams and then waits until a request is queued at one of two heads. It starts further streams until the condition holds; condition, limit and checks are the same.

--- a/packages/bench/test/failure_leaving_test.ts
+++ b/packages/bench/test/failure_leaving_test.ts
@@ -101,6 +101,8 @@
     it(`side of stage ${stage} stops under load`, async () => {
       await streamUntilBusy(12);
       await until('requests wait at the head', async () => {
+        // Streams that have ended leave the head without load.
+        feed('order until requests wait', TOKENS);
         const metric = 'azurecrank_waiting_requests';
         return (await readMetric(all.servers[0], metric)) > 0;
       });
