Report only own evidence on prompt parts, and blamed parts once a second

Each entry repeated for 1 s all evidence that any other had reported, and answers to suspected parts for 30 s. With 48 entries that is up to 190 KB for an entry and crash, and 470 KB/s of answers (derived, 40 B a part), where entry hosts of the grown sites have links from 9.8 Mbit/s. Reports now carry what the entry has seen itself within a second, and blamed parts once a second. The new test shows what is repeated.

--- a/packages/forwarding/src/core/quarantine/crash_evidence.ts
+++ b/packages/forwarding/src/core/quarantine/crash_evidence.ts
@@ -33,8 +33,18 @@
   readonly crashAtMs: Map<CrashId, number>;
   /** Whether requests with the part were answered before the first crash. */
   readonly wasAnswered: boolean;
-  /** When this entry last learned of a crash. */
+  /** When this entry last learned of a crash, from a peer or by itself. */
   learnedAtMs: number;
+  /** When this entry itself last lost a request in a crash. */
+  observedAtMs: number;
+}
+
+/** The end of a server as seen by this entry or a peer. */
+export interface ObservedCrash {
+  readonly crash: CrashId;
+  readonly atMs: number;
+  /** Whether this entry itself lost a request. */
+  readonly isOwn: boolean;
 }
 
 interface Answer {
@@ -94,28 +104,26 @@
 
   /**
    * Records the end of a server on which a request with this part had just
-   * begun.
-   * @param atMs when the server ended; crashes before the last answer are
-   *     ignored
+   * begun. A crash before the last answer is ignored.
    * @returns whether this is new evidence
    */
   recordCrash(
     key: PromptPartKey,
     depth: number,
-    crash: CrashId,
-    atMs: number,
+    {crash, atMs, isOwn}: ObservedCrash,
     nowMs: number,
   ): boolean {
     const answeredAtMs = this.answers.get(key)?.atMs ?? -Infinity;
     if (atMs <= answeredAtMs) return false;
-    let part = this.suspects.get(key);
-    if (!part) {
-      const wasAnswered = answeredAtMs > -Infinity;
-      const crashAtMs = new Map<CrashId, number>();
-      part = {key, depth, crashAtMs, wasAnswered, learnedAtMs: nowMs};
-      this.suspects.set(key, part);
-      dropOldest(this.suspects, MAX_SUSPECT_PARTS);
-    }
+    const part = this.suspects.get(key) ?? {
+      key,
+      depth,
+      crashAtMs: new Map<CrashId, number>(),
+      wasAnswered: answeredAtMs > -Infinity,
+      learnedAtMs: nowMs,
+      observedAtMs: -Infinity,
+    };
+    if (isOwn) part.observedAtMs = nowMs;
     if (part.crashAtMs.has(crash)) return false;
     part.crashAtMs.set(crash, atMs);
     dropOldest(part.crashAtMs, MAX_CRASHES_PER_PART);
@@ -124,6 +132,7 @@
     // The parts with the latest evidence are dropped last.
     this.suspects.delete(key);
     this.suspects.set(key, part);
+    dropOldest(this.suspects, MAX_SUSPECT_PARTS);
     this.changeCount++;
     return true;
   }
--- a/packages/forwarding/src/core/quarantine/prompt_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/prompt_quarantine.ts
@@ -46,14 +46,18 @@
 /** Time for which the outcome of a trial is awaited. */
 const TRIAL_TIMEOUT_MS = 3000;
 
-/** Evidence is reported for this time, so that lost reports do no harm. */
+/**
+ * What this entry has seen is reported for this time, so that lost reports do
+ * no harm. Blamed parts are repeated as often for entries that start.
+ */
 const REPORT_REPEAT_MS = 1000;
 
-/** Answers of parts that were suspected within this time are reported. */
+/** Answers to parts that were suspected within this time are reported. */
 const CONTESTED_MS = 30_000;
 
 /** Bounds the size of a report, and of what is remembered for it. */
 const MAX_REPORTED_PARTS = 64;
+const MAX_REPORTED_CRASHES = 6;
 const MAX_CONTESTED_PARTS = 1024;
 
 /** Interval at which old evidence is dropped. */
@@ -69,8 +73,9 @@
   private readonly trials = new Map<PromptPartKey, Trial>();
   /** Parts that the store lists as blocked, with the end of the block. */
   private storedBlocks: ReadonlyMap<PromptPartKey, number> = new Map();
-  /** Suspected parts with the time until which answers are reported. */
-  private readonly contestedUntilMs = new Map<PromptPartKey, number>();
+  /** When each part was last suspected. */
+  private readonly contestedAtMs = new Map<PromptPartKey, number>();
+  private blamedReportedAtMs = -Infinity;
   private blamed = new Map<PromptPartKey, BlamedPart>();
   private blamedRevision = -1;
   private blamedAtMs = -Infinity;
@@ -129,9 +134,10 @@
   ): void {
     let isNew = false;
     keys.forEach((key, depth) => {
+      const observed = {crash, atMs: nowMs, isOwn: true};
+      const isEvidence = this.evidence.recordCrash(key, depth, observed, nowMs);
+      if (isEvidence) isNew = true;
       this.markContested(key, nowMs);
-      if (this.evidence.recordCrash(key, depth, crash, nowMs, nowMs))
-        isNew = true;
     });
     if (isNew) this.onChange({kind: 'evidence'});
   }
@@ -139,10 +145,14 @@
   /** Evidence that other entries may not have. */
   report(nowMs: number): QuarantineReport {
     const blamed = this.currentlyBlamed(nowMs);
+    const repeatsBlamed = nowMs - this.blamedReportedAtMs >= REPORT_REPEAT_MS;
+    if (repeatsBlamed) this.blamedReportedAtMs = nowMs;
     const suspects = [...this.evidence.suspectParts]
       .filter(
-        ({key, learnedAtMs}) =>
-          blamed.has(key) || nowMs - learnedAtMs < REPORT_REPEAT_MS,
+        ({key, observedAtMs}) =>
+          nowMs - observedAtMs < REPORT_REPEAT_MS ||
+          this.trials.get(key)?.isOwn ||
+          (repeatsBlamed && blamed.has(key)),
       )
       .slice(-MAX_REPORTED_PARTS)
       .map(part => this.toSuspectReport(part, nowMs));
@@ -157,10 +167,13 @@
       if (wasSuspect && !this.evidence.suspect(key)) this.trials.delete(key);
     }
     for (const {key, depth, crashes, trialLeftMs} of report.suspects) {
-      this.markContested(key, nowMs);
-      for (const [crash, ageMs] of crashes) {
-        this.evidence.recordCrash(key, depth, crash, nowMs - ageMs, nowMs);
-      }
+      const isUnknown = crashes.map(([crash, ageMs]) => {
+        const observed = {crash, atMs: nowMs - ageMs, isOwn: false};
+        return this.evidence.recordCrash(key, depth, observed, nowMs);
+      });
+      // The peer may not know of an answer that was seen here.
+      const isCleared = this.evidence.suspect(key) === undefined;
+      if (isCleared || isUnknown.includes(true)) this.markContested(key, nowMs);
       const isKnown = (this.trials.get(key)?.untilMs ?? 0) > nowMs;
       if (trialLeftMs > 0 && !isKnown) {
         this.trials.set(key, {untilMs: nowMs + trialLeftMs, isOwn: false});
@@ -188,9 +201,9 @@
   }
 
   private markContested(key: PromptPartKey, nowMs: number): void {
-    this.contestedUntilMs.delete(key);
-    if (this.contestedUntilMs.size >= MAX_CONTESTED_PARTS) return;
-    this.contestedUntilMs.set(key, nowMs + CONTESTED_MS);
+    this.contestedAtMs.delete(key);
+    if (this.contestedAtMs.size >= MAX_CONTESTED_PARTS) return;
+    this.contestedAtMs.set(key, nowMs);
   }
 
   private blockedUntilMs(
@@ -231,8 +244,8 @@
     if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return;
     this.expiredAtMs = nowMs;
     this.evidence.expire(nowMs);
-    for (const [key, untilMs] of this.contestedUntilMs) {
-      if (untilMs <= nowMs) this.contestedUntilMs.delete(key);
+    for (const [key, atMs] of this.contestedAtMs) {
+      if (nowMs - atMs >= CONTESTED_MS) this.contestedAtMs.delete(key);
     }
     for (const [key, {untilMs}] of this.trials) {
       if (untilMs <= nowMs) this.trials.delete(key);
@@ -245,19 +258,21 @@
     return {
       key,
       depth,
-      crashes: [...crashAtMs].map(([crash, atMs]) => [
-        crash,
-        Math.round(nowMs - atMs),
-      ]),
+      crashes: [...crashAtMs]
+        .slice(-MAX_REPORTED_CRASHES)
+        .map(([crash, atMs]) => [crash, Math.round(nowMs - atMs)]),
       trialLeftMs: trial?.isOwn ? Math.max(0, trial.untilMs - nowMs) : 0,
     };
   }
 
+  /** Answers seen here that peers may not know of. */
   private contestedAnswers(nowMs: number): Array<[PromptPartKey, number]> {
     const answered: Array<[PromptPartKey, number]> = [];
-    for (const [key, untilMs] of this.contestedUntilMs) {
+    for (const [key, contestedAtMs] of this.contestedAtMs) {
       const atMs = this.evidence.ownAnswerAtMs(key);
-      if (atMs === undefined || untilMs <= nowMs) continue;
+      if (atMs === undefined) continue;
+      const newsAgeMs = nowMs - Math.max(atMs, contestedAtMs);
+      if (newsAgeMs >= REPORT_REPEAT_MS) continue;
       answered.push([key, Math.round(nowMs - atMs)]);
     }
     return answered.slice(-MAX_REPORTED_PARTS);
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -131,6 +131,24 @@
     expect(restarted.tryStart([CRASHING], 60_000)).toEqual('blocked');
   });
 
+  // Guards against entries that repeat all evidence of all others.
+  it('reports what it has seen itself, and blamed parts once a second', () => {
+    const [seen, told] = [0, 1].map(() => new PromptQuarantine(() => {}));
+    for (let i = 0; i < 30; i++) {
+      const key = `assistant/p${i}` as PromptPartKey;
+      seen.recordCrash([key], nextCrash(), 0);
+    }
+    for (const atMs of [0, 400, 800, 1200])
+      seen.recordCrash([CRASHING], nextCrash(), atMs);
+    told.applyPeerReport(seen.report(100), 100);
+    told.applyPeerReport(seen.report(1500), 1500);
+    const keysAt = (nowMs: number) =>
+      told.report(nowMs).suspects.map(({key}) => key);
+    expect(keysAt(1800)).toEqual([CRASHING]);
+    expect(keysAt(2000)).toEqual([]);
+    expect(keysAt(2900)).toEqual([CRASHING]);
+  });
+
   // Guards against callers that fill the memory of an entry.
   it('remembers a bounded number of parts', () => {
     const quarantine = new PromptQuarantine(() => {});
