--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -23,6 +23,7 @@
   StreamRelay,
   Upstream,
   WireCodec,
+  type AcceptedRequest,
   type BackendServer,
   type CallerMetadata,
   type Exchange,
@@ -211,6 +212,34 @@
   services: [{service: SERVICE, weight: 1}],
 };
 
+/** An accepted request of the most urgent rank. */
+export function acceptedRequest(
+  route: Route,
+  deadlineAtMs: number,
+): AcceptedRequest {
+  return {
+    route,
+    workspace: undefined,
+    priority: 0,
+    rank: 'urgent',
+    stripsApiKey: true,
+    table: {
+      version: 1,
+      routes: [],
+      services: new Map(),
+      limits: {
+        maxHeaderBytes: 1,
+        maxBodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+      workspaces: undefined,
+    },
+    body: undefined,
+    deadlineAtMs,
+  };
+}
+
 /** Runs the continuations of settled promises. */
 export async function flushPromises(): Promise<void> {
   for (let i = 0; i < 10; i++) await Promise.resolve();
@@ -283,27 +312,7 @@
       {...CALLER_FACTS, sharedPromptParts: promptParts as PromptPartId[]},
       this.nowMs,
     );
-    const accepted = {
-      route: {...ROUTE, ...route},
-      workspace: undefined,
-      priority: 0,
-      rank: 'urgent' as const,
-      stripsApiKey: true,
-      table: {
-        version: 1,
-        routes: [],
-        services: new Map(),
-        limits: {
-          maxHeaderBytes: 1,
-          maxBodyBytes: 1,
-          headerTimeoutMs: 1,
-          idleTimeoutMs: 1,
-        },
-        workspaces: undefined,
-      },
-      body: undefined,
-      deadlineAtMs: this.nowMs + 20_000,
-    };
+    const accepted = acceptedRequest({...ROUTE, ...route}, this.nowMs + 20_000);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
       request: REQUEST,
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -44,7 +44,12 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
-import {FakeResponse, ROUTE, flushPromises} from './relay_harness.js';
+import {
+  FakeResponse,
+  ROUTE,
+  acceptedRequest,
+  flushPromises,
+} from './relay_harness.js';
 
 const STEP_MS = 10;
 const CHECK_INTERVAL_MS = 20;
@@ -528,27 +533,7 @@
     const {nowMs} = simulation;
     this.upstream.requests.set(request.id, request);
     const exchange = this.createExchange(request);
-    const accepted = {
-      route: ROUTE,
-      workspace: undefined,
-      priority: 0,
-      rank: 'urgent' as const,
-      stripsApiKey: true,
-      table: {
-        version: 1,
-        routes: [],
-        services: new Map(),
-        limits: {
-          maxHeaderBytes: 1,
-          maxBodyBytes: 1,
-          headerTimeoutMs: 1,
-          idleTimeoutMs: 1,
-        },
-        workspaces: undefined,
-      },
-      body: undefined,
-      deadlineAtMs: nowMs + REQUEST_TIMEOUT_MS,
-    };
+    const accepted = acceptedRequest(ROUTE, nowMs + REQUEST_TIMEOUT_MS);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
       request: request.id,
