Log only parts that were blamed as cleared

Each answer to a prompt that was a neighbour in a crash wrote a line and sent a report at once, though nothing had been held against its parts. The next regular report tells peers.

--- a/packages/forwarding/src/core/quarantine/prompt_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/prompt_quarantine.ts
@@ -114,7 +114,7 @@
   /** Records that a server goes on with the answer to these parts. */
   recordAnswer(keys: readonly PromptPartKey[], nowMs: number): void {
     const cleared = keys.filter(
-      key => this.evidence.suspect(key) || this.storedBlocks.has(key),
+      key => this.blamed.has(key) || this.storedBlocks.has(key),
     );
     this.evidence.recordAnswer(keys, nowMs);
     for (const key of cleared) {
