Estimate the streams a second that a chain serves

Plans of layers, the derivation of chains and their reports compared chains by capacity or by cost, never by what callers get: places over the time that a stream holds one. The estimate is not used yet; no behaviour changes. The fraction of a chain that is admitted to moves here.

--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -4,18 +4,12 @@
  */
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
+import {ADMISSIBLE_CAPACITY_FRACTION} from '../paths/chain_throughput.js';
 import type {ServerChain} from '../paths/find_chains.js';
 
 /** Maximum age of the usage reported by a peer; older reports are dropped. */
 const MAX_PEER_USAGE_AGE_MS = 3000;
 
-/**
- * Fraction of a chain's KV-cache capacity that admitted requests are expected
- * to use at most. The rest is for responses that are longer than expected, and
- * for requests that peers have admitted since their last report.
- */
-export const ADMISSIBLE_CAPACITY_FRACTION = 0.9;
-
 /**
  * Time for which a chain gets no new request after a refusal, which mostly means
  * that one of its servers has no free KV-cache tokens. It doubles with each
