Show that layouts serve less than the offered streams

The tests lay out a fleet of that size and mix and compare places over time in place, summed over the chains, with the 138 streams a second that callers start. The bound tries every division of the servers of a zone among chains, without copies of layers.

--- a/packages/forwarding/test/fleet_fixture.ts
+++ b/packages/forwarding/test/fleet_fixture.ts
@@ -45,10 +45,54 @@
   ['depot', 't4', 7],
 ];
 
+/**
+ * A fleet in which KV-cache tokens are scarce: many small servers beside few
+ * fast ones, and several times the memory of the weights in each zone.
+ */
+const LARGE_FLEET_SERVER_COUNTS: typeof SERVER_COUNTS = [
+  ['river', 'h100', 1],
+  ['river', 'a100s', 1],
+  ['mill', 'a100s', 2],
+  ['depot', 'a100s', 2],
+  ['river', 'l4', 8],
+  ['mill', 'l4', 12],
+  ['depot', 'l4', 6],
+  ['river', 't4', 11],
+  ['mill', 't4', 5],
+  ['depot', 't4', 10],
+];
+
+/** Step time that 1,000 tokens of context add for a sequence. */
+const STEP_PER_CONTEXT_KTOKEN_MS = 0.00285;
+
+/** Tokens of context of a typical stream, halfway through its response. */
+const TYPICAL_CONTEXT_TOKENS = 772 + 144 / 2;
+
+/** The model of the large fleet. */
+export const LARGE_FLEET_MODEL: ModelSpec = {
+  ...MODEL,
+  kvBytesPerToken: 328_000,
+  stepPerSequenceMs:
+    0.00212 + (STEP_PER_CONTEXT_KTOKEN_MS * TYPICAL_CONTEXT_TOKENS) / 1000,
+  prefillTokensPerMs: 353,
+  activationBytes: 16_400,
+  crossZoneBandwidthMbps: 2700,
+  typicalResponseTokens: 144,
+};
+
 /** Returns 39 servers that hold no layers. */
 export function emptyFleet(): BackendServer[] {
+  return createServers(SERVER_COUNTS);
+}
+
+/** Returns 58 servers that hold no layers. */
+export function emptyLargeFleet(): BackendServer[] {
+  return createServers(LARGE_FLEET_SERVER_COUNTS);
+}
+
+function createServers(counts: typeof SERVER_COUNTS): BackendServer[] {
   let number = 10;
-  return SERVER_COUNTS.flatMap(([availabilityZone, accelerator, count]) =>
+  return counts.flatMap(([availabilityZone, accelerator, count]) =>
     Array.from({length: count}, () => {
       number++;
       return {
--- /dev/null
+++ b/packages/forwarding/test/scarce_places_test.ts
@@ -0,0 +1,123 @@
+import {describe, it} from 'node:test';
+import {stableHash} from '@azurecrank/core';
+import {
+  applyOrders,
+  findChains,
+  layersUsedByChains,
+  planLayout,
+  streamsPerS,
+  type BackendServer,
+} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import {LARGE_FLEET_MODEL as MODEL, emptyLargeFleet} from './fleet_fixture.js';
+import {maxStreamsPerS} from './throughput_bound.js';
+
+/** Streams that callers start in a second on a busy day, without a burst. */
+const OFFERED_STREAMS_PER_S = 138;
+
+/** Target for the throughput as a fraction of the hardware bound. */
+const MIN_SHARE_OF_BOUND = 0.8;
+
+const SEEDS = [1, 2, 3, 4, 5];
+const ZONES = ['river', 'mill', 'depot'];
+
+/** Rounds of orders after which a layout has to be settled. */
+const MAX_ROUNDS = 30;
+
+/** Plans and applies orders until there are none, as the lease holder does. */
+function settleLayout(servers: readonly BackendServer[]): BackendServer[] {
+  let current = [...servers];
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const inUse = layersUsedByChains(findChains(MODEL, current));
+    const orders = planLayout(MODEL, current, inUse);
+    if (orders.length === 0) return current;
+    current = applyOrders(current, orders);
+  }
+  throw new Error(`the layout is not settled after ${MAX_ROUNDS} rounds`);
+}
+
+/** Returns the streams a second that all chains of the servers can serve. */
+function layoutStreamsPerS(servers: readonly BackendServer[]): number {
+  return findChains(MODEL, servers).reduce(
+    (sum, chain) => sum + streamsPerS(MODEL, chain),
+    0,
+  );
+}
+
+/** Returns the servers without `losses` of the zone, drawn by the seed. */
+function withoutServersOf(
+  servers: readonly BackendServer[],
+  zone: string,
+  losses: number,
+  seed: number,
+): BackendServer[] {
+  const lost = servers
+    .filter(({availabilityZone}) => availabilityZone === zone)
+    .map(({server}) => ({server, draw: stableHash(`${seed}:${server}`)}))
+    .sort((a, b) => a.draw - b.draw)
+    .slice(0, losses)
+    .map(({server}) => server);
+  return servers.filter(({server}) => !lost.includes(server));
+}
+
+function withoutOneInSeven(
+  servers: readonly BackendServer[],
+  seed: number,
+): BackendServer[] {
+  return ZONES.reduce(
+    (remaining, zone) => {
+      const inZone = servers.filter(s => s.availabilityZone === zone);
+      const losses = Math.round(inZone.length / 7);
+      return withoutServersOf(remaining, zone, losses, seed);
+    },
+    [...servers],
+  );
+}
+
+/** Describes a settled layout if it cannot serve the offered streams. */
+function describeShortfall(
+  servers: readonly BackendServer[],
+  cause: string,
+): string[] {
+  expect(maxStreamsPerS(MODEL, servers)).toBeGreaterThan(OFFERED_STREAMS_PER_S);
+  const perS = layoutStreamsPerS(settleLayout(servers));
+  if (perS >= OFFERED_STREAMS_PER_S) return [];
+  return [`${cause}: ${perS.toFixed(1)} streams a second`];
+}
+
+// Load pattern: streams arrive at a constant rate for much longer than one of
+// them takes, and each holds KV cache on all servers of its chain meanwhile.
+// Guards against layouts with too few chains, or too slow ones, for that rate,
+// so that queues do not drain and most first events are late (incident 9).
+describe('layout of a fleet with scarce KV-cache tokens', () => {
+  const settled = settleLayout(emptyLargeFleet());
+
+  it('serves the offered streams when it is new', () => {
+    expect(describeShortfall(emptyLargeFleet(), 'no loss')).toEqual([]);
+  });
+
+  it('serves the offered streams after the loss of two servers', () => {
+    const shortfalls = SEEDS.flatMap(seed =>
+      ZONES.flatMap(zone =>
+        describeShortfall(
+          withoutServersOf(settled, zone, 2, seed),
+          `${zone}, seed ${seed}`,
+        ),
+      ),
+    );
+    expect(shortfalls).toEqual([]);
+  });
+
+  it('serves the offered streams after the loss of one server in seven', () => {
+    const shortfalls = SEEDS.flatMap(seed =>
+      describeShortfall(withoutOneInSeven(settled, seed), `seed ${seed}`),
+    );
+    expect(shortfalls).toEqual([]);
+  });
+
+  it('serves most of what the hardware can serve', () => {
+    expect(layoutStreamsPerS(settled)).toBeGreaterThanOrEqual(
+      maxStreamsPerS(MODEL, settled) * MIN_SHARE_OF_BOUND,
+    );
+  });
+});
