Log why requests wait and what the chains suffice for

An on-call engineer who saw late first events could not tell whether the chains have too few places, whether places stay free while entries wait for each other, or whether a chain is away or closed after a refusal: the line on the chains had only paths and capacities, and nothing said why a request waits.

The line "chains in use" now gives the concurrent streams of each chain, how long one holds its place, and the streams a second. While requests wait, a line at most once a second and the counter azurecrank_queue_wait_ms_total give the reason. Admission is not changed.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -70,6 +70,18 @@
     help: 'Milliseconds from accepting a request to its grant, by rank',
     owners: ENTRY,
   },
+  azurecrank_queue_wait_ms_total: {
+    kind: 'counter',
+    help: 'Milliseconds that requests waited for a chain, by reason',
+    owners: ENTRY,
+    label: 'reason',
+    values: [
+      'no_chain',
+      'no_free_tokens',
+      'chain_closed',
+      'other_entries_first',
+    ],
+  },
   azurecrank_first_token_ms: {
     kind: 'summary',
     help: 'Milliseconds from accepting a request to its first token, by rank',
--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -132,6 +132,12 @@
     const refusing = this.refusingChains.get(first);
     if (refusing && nowMs < refusing.closedUntilMs) return 0;
     if (this.limits && !this.limits.maySend(first, service, nowMs)) return 0;
+    return this.unusedTokens(chain, nowMs);
+  }
+
+  /** Admissible tokens that are not in use, also while none may be admitted. */
+  unusedTokens(chain: ServerChain, nowMs: number): number {
+    const first = chain.path[0].server.address;
     const admissible = chain.capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
     return Math.max(0, admissible - this.usedTokens(first, nowMs));
   }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -18,6 +18,7 @@
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {ChainLoads} from './chain_loads.js';
 import type {PeerQueues, ServiceQueues} from './peer_queues.js';
+import type {WaitingQueue, WaitReason} from './queue_wait_reporter.js';
 import {AdmissionRateMeter} from './admission_rate_meter.js';
 import {chooseChain, chooseContendedChain} from './choose_chain.js';
 import {RetryAfterSchedule} from './retry_after_schedule.js';
@@ -92,6 +93,36 @@
     };
   }
 
+  /** Returns the queue and why its requests wait; undefined if none does. */
+  waitingQueue(): WaitingQueue | undefined {
+    if (this.queue.size === 0) return undefined;
+    const {loads, nowMs} = this.options;
+    const now = nowMs();
+    const oldestAtMs = this.queue.oldestEnqueuedAtMs();
+    const freeTokens = this.currentChains().map(chain =>
+      loads.freeTokens(chain, now),
+    );
+    return {
+      requests: this.queue.size,
+      oldestAgeMs: now - Math.min(...oldestAtMs.map(atMs => atMs ?? now)),
+      reason: this.waitReason(now),
+      freeTokens: freeTokens.reduce((sum, tokens) => sum + tokens, 0),
+    };
+  }
+
+  private waitReason(now: number): WaitReason {
+    const {loads} = this.options;
+    const chains = this.currentChains();
+    if (chains.length === 0) return 'no_chain';
+    if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS)) {
+      return 'other_entries_first';
+    }
+    const isAnyClosed = chains.some(
+      chain => loads.unusedTokens(chain, now) >= TYPICAL_REQUEST_TOKENS,
+    );
+    return isAnyClosed ? 'chain_closed' : 'no_free_tokens';
+  }
+
   /** Number of queued requests. */
   get size(): number {
     return this.queue.size;
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -20,11 +20,11 @@
 import {ChainLoads} from '../admission/chain_loads.js';
 import {ModelAdmission} from '../admission/model_admission.js';
 import {PeerQueues} from '../admission/peer_queues.js';
+import {QueueWaitReporter} from '../admission/queue_wait_reporter.js';
 import {FleetView} from '../fleet/fleet_view.js';
 import {ForwardingGateway} from '../gateway/forwarding_gateway.js';
 import {EntryDirectory, LAYOUT_LEASE_KEY} from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
-import {formatPath} from '../paths/server_path.js';
 import {LayoutRunner} from '../placement/layout_runner.js';
 import {CallLoadBalancer} from '../relay/call_load_balancer.js';
 import {
@@ -41,6 +41,7 @@
 import {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {TableHolder} from '../routing/table_holder.js';
+import {chainFields} from './chain_fields.js';
 import type {ForwardingSettings} from './forwarding_settings.js';
 import {StoreWatchers} from './store_watchers.js';
 
@@ -83,6 +84,7 @@
   private readonly peerQueues = new PeerQueues();
   private readonly callBalancer = new CallLoadBalancer();
   private readonly admissions = new Map<ServiceId, ModelAdmission>();
+  private readonly waitReporters = new Map<ServiceId, QueueWaitReporter>();
   private readonly tableHolder: TableHolder;
   private readonly directory: EntryDirectory;
   private readonly mesh: EntryMesh;
@@ -468,16 +470,15 @@
         nowMs: () => performance.now(),
         onChainsChanged: chains => {
           this.layoutRunner?.recordChains(chains);
-          this.logger.info('chains in use', {
-            service,
-            chains: chains.map(
-              ({path, capacityTokens}) =>
-                `${Math.round(capacityTokens)} tokens: ${formatPath(path)}`,
-            ),
-          });
+          const model = this.tableHolder.table?.services.get(service)?.model;
+          const fields = {service, ...chainFields(model, chains)};
+          this.logger.info('chains in use', fields);
         },
       });
       this.admissions.set(service, admission);
+      const {logger, metrics} = this;
+      const reporter = new QueueWaitReporter({service, logger, metrics});
+      this.waitReporters.set(service, reporter);
     }
     return admission;
   }
@@ -486,7 +487,11 @@
   private processQueues(): void {
     const {isConnected} = this.storeWatchers;
     this.fleet.expire(performance.now(), isConnected);
-    for (const admission of this.admissions.values()) admission.processQueue();
+    for (const [service, admission] of this.admissions) {
+      admission.processQueue();
+      const reporter = this.waitReporters.get(service);
+      reporter?.sample(admission.waitingQueue(), performance.now());
+    }
   }
 }
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from './core/admission/choose_chain.js';
 export * from './core/admission/model_admission.js';
 export * from './core/admission/peer_queues.js';
+export * from './core/admission/queue_wait_reporter.js';
 export * from './core/fleet/backend_server.js';
 export * from './core/fleet/fleet_view.js';
 export * from './core/fleet/prefix_watcher.js';
