--- a/packages/forwarding/test/scarce_places_test.ts
+++ b/packages/forwarding/test/scarce_places_test.ts
@@ -15,7 +15,7 @@
 import {LARGE_FLEET_MODEL as MODEL, emptyLargeFleet} from './fleet_fixture.js';
 import {maxStreamsPerS} from './throughput_bound.js';
 
-/** Streams that callers start in a second on a busy day, without a burst. */
+/** Streams that callers start in a second at the peak of a busy day. */
 const OFFERED_STREAMS_PER_S = 138;
 
 /** Target for the throughput as a fraction of the hardware bound. */
@@ -88,8 +88,8 @@
   return [`${cause}: ${perS.toFixed(1)} streams a second`];
 }
 
-// Load pattern: streams arrive at a constant rate for much longer than one of
-// them takes, and each holds KV cache on all servers of its chain meanwhile.
+// Load pattern: streams arrive at the rate of the peak for much longer than one
+// of them takes, and each holds KV cache on all servers of its chain meanwhile.
 // Guards against layouts with too few chains, or too slow ones, for that rate,
 // so that queues do not drain and most first events are late (incident 9).
 describe('layout of a fleet with scarce KV-cache tokens', () => {
