Plan chains by the streams that they serve

Callers of a large fleet got late first events and refusals while all servers worked: streams wait for a place on a chain, and the layout had too few places, held for too long.

Cause: the number of chains followed the number of servers, their layers were divided for the fastest slowest stage over 18 or 19 servers, the capacity stopped at 80,000 tokens, and findChains merged chains that were planned apart, since its cost preferred many small stages. None of this is what callers wait for: places over time in place, summed over the chains.

Change: groupServers tries chains of the fewest, fastest servers for each KV-cache capacity and keeps what serves the most streams a second. findChains derives chains with several preferences and keeps the best by the same figure. A zone that lost a chain forms it again from the servers that no chain uses, as long as the zone serves more then; changes for more capacity have to gain streams over the whole zone. Servers without layers copy whole stages, of which no copy exists, with the capacity of the chain.

many_entries_test.ts had the capacity of the old layout of its fleet as a number (270 places, 300 urgent and 2,200 offered requests).

--- a/packages/forwarding/src/core/paths/chain_throughput.ts
+++ b/packages/forwarding/src/core/paths/chain_throughput.ts
@@ -5,7 +5,7 @@
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {ServerChain} from './find_chains.js';
 import type {PathStage} from './server_path.js';
-import {stageStepMs} from './stage_step_time.js';
+import {IN_ZONE_HOP_MS, stageStepMs} from './stage_step_time.js';
 
 /**
  * Fraction of a chain's KV-cache capacity that admitted requests are expected
@@ -14,8 +14,8 @@
  */
 export const ADMISSIBLE_CAPACITY_FRACTION = 0.9;
 
-/** Typical one-way latency of a hop inside an availability zone. */
-export const IN_ZONE_HOP_MS = 0.3;
+/** The members of a chain that its throughput depends on. */
+type PlannedChain = Pick<ServerChain, 'path' | 'capacityTokens'>;
 
 /** Tokens wait on average for half of a step of the slowest stage. */
 const SLOWEST_STAGE_WAIT_STEPS = 0.5;
@@ -37,14 +37,17 @@
 /** Number of typical streams that a chain runs at the same time. */
 export function concurrentStreams(
   model: ModelSpec,
-  {capacityTokens}: Pick<ServerChain, 'capacityTokens'>,
+  {capacityTokens}: Pick<PlannedChain, 'capacityTokens'>,
 ): number {
   const admissibleTokens = capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
   return Math.min(model.slots, admissibleTokens / typicalStreamTokens(model));
 }
 
 /** Time that a typical stream holds its place on a chain that is in full use. */
-export function streamDurationMs(model: ModelSpec, chain: ServerChain): number {
+export function streamDurationMs(
+  model: ModelSpec,
+  chain: PlannedChain,
+): number {
   const {path} = chain;
   const batchFactor =
     (model.stepMs + concurrentStreams(model, chain) * model.stepPerSequenceMs) /
@@ -62,7 +65,7 @@
 }
 
 /** Typical streams that a chain serves in a second. */
-export function streamsPerS(model: ModelSpec, chain: ServerChain): number {
+export function streamsPerS(model: ModelSpec, chain: PlannedChain): number {
   const durationMs = streamDurationMs(model, chain);
   return (MS_PER_SECOND * concurrentStreams(model, chain)) / durationMs;
 }
@@ -82,3 +85,11 @@
     (model.typicalPromptTokens / model.prefillTokensPerMs) * factor * layerShare
   );
 }
+
+/** Typical streams that all chains together serve in a second. */
+export function totalStreamsPerS(
+  model: ModelSpec,
+  chains: readonly PlannedChain[],
+): number {
+  return chains.reduce((sum, chain) => sum + streamsPerS(model, chain), 0);
+}
--- a/packages/forwarding/src/core/paths/find_chains.ts
+++ b/packages/forwarding/src/core/paths/find_chains.ts
@@ -3,17 +3,26 @@
  * derives the same chains from the same registrations, so that the entries need
  * no stored plan and no agreement.
  */
+import type {ServerId} from '@azurecrank/core';
 import type {BackendServer} from '../fleet/backend_server.js';
 import {kvCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
-import {findPath} from './find_path.js';
+import {totalStreamsPerS, maxUsableCapacityTokens} from './chain_throughput.js';
+import {
+  BALANCE_REFERENCE_MS,
+  findPath,
+  type PathPreference,
+} from './find_path.js';
 import {stageStepMs} from './stage_step_time.js';
 import type {ServerPath} from './server_path.js';
 
 /** Servers that together hold all layers and take new requests. */
 export interface ServerChain {
   readonly path: ServerPath;
-  /** KV-cache capacity in tokens: that of the stage with the least. */
+  /**
+   * KV-cache capacity in tokens: that of the stage with the least, at most as
+   * much as the slots of the first server can use.
+   */
   readonly capacityTokens: number;
   /** Duration of a decode step of a single request, without hops. */
   readonly stepMs: number;
@@ -25,9 +34,30 @@
  */
 const MAX_CROSS_ZONE_CAPACITY_TOKENS = 24_000;
 
+/**
+ * Preferences to derive chains with. The cheapest path of a zone may take
+ * servers without which the others have no complete chain; a path with little
+ * else on its servers leaves them what was planned for another chain.
+ */
+const PATH_PREFERENCES: readonly PathPreference[] = [
+  {balanceReferenceMs: BALANCE_REFERENCE_MS, idleLayerCostMs: 0},
+  {balanceReferenceMs: BALANCE_REFERENCE_MS, idleLayerCostMs: 0.3},
+  {
+    balanceReferenceMs: BALANCE_REFERENCE_MS,
+    idleLayerCostMs: 0.05,
+    minCapacityTokens: 50_000,
+  },
+];
+
+/**
+ * A later preference is used only if it serves this many times more streams, so
+ * that small changes of the fleet do not change the chains.
+ */
+const MIN_PREFERENCE_GAIN_FACTOR = 1.05;
+
 /**
  * Returns chains that share no server: first those inside a zone, then those
- * across zones, each time the cheapest that the remaining servers allow.
+ * across zones, each time those that serve the most streams.
  */
 export function findChains(
   model: ModelSpec,
@@ -61,16 +91,46 @@
   servers: readonly BackendServer[],
   chains: ServerChain[],
 ): BackendServer[] {
-  let remaining = [...servers];
+  let best: ServerChain[] = [];
+  let bestStreamsPerS = 0;
+  for (const preference of PATH_PREFERENCES) {
+    const found = cheapestChains(model, servers, preference);
+    if (found.length === 0) continue;
+    const streamsPerS = totalStreamsPerS(model, found);
+    if (streamsPerS < bestStreamsPerS * MIN_PREFERENCE_GAIN_FACTOR) continue;
+    best = found;
+    bestStreamsPerS = streamsPerS;
+  }
+  chains.push(...best);
+  const used = serversOf(best);
+  return servers.filter(({server}) => !used.has(server));
+}
+
+/** Takes the cheapest path of the remaining servers until there is none. */
+function cheapestChains(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  preference: PathPreference,
+): ServerChain[] {
+  const chains: ServerChain[] = [];
+  let remaining = servers;
   for (;;) {
-    const path = findPath({model, servers: remaining});
-    if (!path) return remaining;
-    chains.push(toChain(model, path));
-    const used = new Set(path.map(({server}) => server.server));
+    const path = findPath({model, servers: remaining, preference});
+    if (!path) return chains;
+    const chain = toChain(model, path);
+    chains.push(chain);
+    const used = serversOf([chain]);
     remaining = remaining.filter(({server}) => !used.has(server));
   }
 }
 
+/** Returns the servers that are on the paths of the chains. */
+export function serversOf(chains: readonly ServerChain[]): Set<ServerId> {
+  return new Set(
+    chains.flatMap(({path}) => path.map(({server}) => server.server)),
+  );
+}
+
 /** Returns the chain of a path, with its capacity and speed. */
 export function toChain(model: ModelSpec, path: ServerPath): ServerChain {
   const capacities = path.map(({server, firstLayer, endLayer}) =>
@@ -81,7 +141,7 @@
   );
   return {
     path,
-    capacityTokens: Math.min(...capacities),
+    capacityTokens: Math.min(...capacities, maxUsableCapacityTokens(model)),
     stepMs: stepsMs.reduce((sum, ms) => sum + ms, 0),
   };
 }
--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -5,7 +5,7 @@
 import type {BackendServer} from '../fleet/backend_server.js';
 import {kvCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
-import {stageStepMs} from './stage_step_time.js';
+import {IN_ZONE_HOP_MS, stageStepMs} from './stage_step_time.js';
 import type {PathStage, ServerPath} from './server_path.js';
 
 /** Engines refuse paths with more stages. */
@@ -20,16 +20,13 @@
  */
 const CROSS_ZONE_HOP_COST_MS = 100;
 
-/** Cost of a hop inside an availability zone: the typical one-way latency. */
-const IN_ZONE_HOP_COST_MS = 0.3;
-
 /**
- * Step time of a stage at which its balance cost, which grows with the square
- * of the step time, equals the step time. The busiest stage bounds the
- * throughput of a path, so many small stages are better than few large ones as
- * long as they gain more than the hops between them cost.
+ * Default step time of a stage at which its balance cost, which grows with the
+ * square of the step time, equals the step time. The cost stands for the wait
+ * at the slowest stage. It is low, because a stream holds its place for the sum
+ * of all stages and hops.
  */
-const BALANCE_REFERENCE_MS = 0.5;
+export const BALANCE_REFERENCE_MS = 5;
 
 /**
  * Cost of a stage with a KV-cache capacity of `LOW_CAPACITY_REFERENCE_TOKENS`,
@@ -52,8 +49,28 @@
   readonly current?: ServerPath;
   /** Stage that the path has to begin with. */
   readonly firstStage?: PathStage;
+  readonly preference?: PathPreference;
+}
+
+/** What else counts for a path besides the time of its steps. */
+export interface PathPreference {
+  /** See `BALANCE_REFERENCE_MS`. */
+  readonly balanceReferenceMs: number;
+  /**
+   * Cost of each layer that a server of the path holds without running it, in
+   * milliseconds of a decode step. It keeps a path off servers that were given
+   * their layers for another path.
+   */
+  readonly idleLayerCostMs: number;
+  /** Stages with less KV-cache capacity are not used; 0 by default. */
+  readonly minCapacityTokens?: number;
 }
 
+const DEFAULT_PREFERENCE: PathPreference = {
+  balanceReferenceMs: BALANCE_REFERENCE_MS,
+  idleLayerCostMs: 0,
+};
+
 /** The cheapest path over the first layers that was found so far. */
 interface PartialPath {
   readonly costMs: number;
@@ -89,21 +106,24 @@
 
 /** Extends the paths so far by a stage on the server where that is cheaper. */
 function extendPaths(
-  {model, current}: PathQuery,
+  {model, current, preference = DEFAULT_PREFERENCE}: PathQuery,
   best: Array<PartialPath | undefined>,
   server: BackendServer,
 ): void {
   const held = server.layers;
   if (!held) return;
+  const {minCapacityTokens = 0} = preference;
   // In descending order, so that no stage of this server follows another one.
   for (let layer = held.endLayer - 1; layer >= held.firstLayer; layer--) {
     const predecessor = best[layer];
     if (!predecessor || predecessor.stageCount >= MAX_PATH_STAGES) continue;
     for (let end = layer + 1; end <= held.endLayer; end++) {
       const stage = {server, firstLayer: layer, endLayer: end};
+      if (kvCapacityTokens(model, server, end - layer) < minCapacityTokens)
+        break;
       const costMs =
         predecessor.costMs +
-        stageCostMs(model, stage, predecessor.lastStage) +
+        stageCostMs(model, stage, predecessor.lastStage, preference) +
         (current && !containsStage(current, stage)
           ? REPEATED_PREFILL_COST_MS
           : 0);
@@ -124,15 +144,21 @@
   model: ModelSpec,
   {server, firstLayer, endLayer}: PathStage,
   previous: PathStage | undefined,
+  {balanceReferenceMs, idleLayerCostMs}: PathPreference,
 ): number {
   const layers = endLayer - firstLayer;
+  const held = server.layers;
+  const idleLayers = held ? held.endLayer - held.firstLayer - layers : 0;
   const stepMs = stageStepMs(model, server, layers);
   const capacityTokens = Math.max(1, kvCapacityTokens(model, server, layers));
   const lowCapacityMs =
     LOW_CAPACITY_COST_MS *
     (LOW_CAPACITY_REFERENCE_TOKENS / capacityTokens) ** 2;
-  const balanceMs = (stepMs * stepMs) / BALANCE_REFERENCE_MS;
-  return stepMs + balanceMs + lowCapacityMs + hopCostMs(previous, server);
+  const balanceMs = (stepMs * stepMs) / balanceReferenceMs;
+  const idleMs = idleLayers * idleLayerCostMs;
+  return (
+    stepMs + balanceMs + lowCapacityMs + idleMs + hopCostMs(previous, server)
+  );
 }
 
 function hopCostMs(
@@ -141,7 +167,7 @@
 ): number {
   if (!previous) return 0;
   const isLocal = previous.server.availabilityZone === server.availabilityZone;
-  return isLocal ? IN_ZONE_HOP_COST_MS : CROSS_ZONE_HOP_COST_MS;
+  return isLocal ? IN_ZONE_HOP_MS : CROSS_ZONE_HOP_COST_MS;
 }
 
 function containsStage(path: ServerPath, stage: PathStage): boolean {
--- a/packages/forwarding/src/core/placement/divide_layers.ts
+++ b/packages/forwarding/src/core/placement/divide_layers.ts
@@ -10,35 +10,25 @@
 const DECODE_TO_PREFILL_TIME_RATIO = 2;
 
 /**
- * Returns the number of layers for each server that makes the slowest path
- * stage as fast as possible, because that stage bounds the throughput of the
- * whole chain. Undefined if not all layers fit beside the KV cache of
- * `capacityTokens` tokens.
+ * Returns the number of layers for each server, the fastest being filled first:
+ * a stream holds its place on a chain for the sum of all stages and hops, so the
+ * fewest and fastest servers free it the soonest. Undefined if not all layers
+ * fit beside the KV cache of `capacityTokens` tokens.
+ * @param servers the fastest first
  */
 export function divideLayers(
   model: ModelSpec,
   servers: readonly BackendServer[],
-  layers: number,
   capacityTokens: number,
 ): number[] | undefined {
-  const maxLayers = servers.map(s => layersThatFit(model, s, capacityTokens));
-  if (maxLayers.reduce((sum, max) => sum + max, 0) < layers) {
-    return undefined;
-  }
-  const counts = servers.map(() => 0);
-  const layerTimes = servers.map(server => relativeLayerTime(model, server));
-  for (let layer = 0; layer < layers; layer++) {
-    let fastest = -1;
-    let shortestTime = Infinity;
-    for (const [i, count] of counts.entries()) {
-      const time = (count + 1) * layerTimes[i];
-      if (count >= maxLayers[i] || time >= shortestTime) continue;
-      fastest = i;
-      shortestTime = time;
-    }
-    counts[fastest]++;
-  }
-  return counts;
+  let remaining = model.layers;
+  const counts = servers.map(server => {
+    const fitting = layersThatFit(model, server, capacityTokens);
+    const count = Math.min(remaining, fitting);
+    remaining -= count;
+    return count;
+  });
+  return remaining === 0 ? counts : undefined;
 }
 
 /** Returns the time of a layer per request, comparable between servers only. */
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -1,7 +1,7 @@
 /**
  * Plans which layers each server of a model should hold. The servers of an
- * availability zone form a chain, or several in a large zone; the layers are
- * divided by the speed of the servers, and spare memory holds copies. Chains
+ * availability zone form the chains that serve the most streams; the fastest
+ * servers of a chain get the most layers, and spare memory holds copies. Chains
  * across zones are the last resort, because all prompts between two zones share
  * one slow link. Few of the layers that servers already hold are moved. Pure.
  */
@@ -11,15 +11,17 @@
   layersThatFit,
   kvCapacityTokensBeside,
 } from '../fleet/server_capacity.js';
-import {findChains, type ServerChain} from '../paths/find_chains.js';
-import type {PathStage} from '../paths/server_path.js';
+import {totalStreamsPerS} from '../paths/chain_throughput.js';
+import {findChains, serversOf, type ServerChain} from '../paths/find_chains.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {
   divideLayers,
   relativeLayerTime,
   rangesWithCopies,
 } from './divide_layers.js';
+import {CHAIN_CAPACITY_OPTIONS_TOKENS, groupServers} from './group_servers.js';
 import {layersUsedByChains, type LayersInUse} from './layers_in_use.js';
+import {planCopies} from './plan_copies.js';
 import {allOrderings} from './server_orderings.js';
 import {
   spanningRange,
@@ -34,28 +36,20 @@
   readonly range: LayerRange;
 }
 
-/**
- * KV-cache capacities to plan a chain for, the largest that fits being used.
- * The first is enough for about 90 requests; small zones have less memory.
- */
-const CHAIN_CAPACITY_OPTIONS_TOKENS = [
-  80_000, 65_000, 50_000, 40_000, 32_000, 24_000, 18_000, 12_000, 8_000, 4_000,
-];
-
 /** KV-cache capacity to plan for on each server of a chain across zones. */
 const CROSS_ZONE_CAPACITY_TOKENS = 12_000;
 
-/** Longer chains gain little speed and pass more servers that may fail. */
-const MAX_CHAIN_SERVERS = 20;
+/** An additional chain has to serve this many times more streams of its zone. */
+const MIN_ADDITIONAL_CHAIN_GAIN_FACTOR = 1.1;
+
+/** The same for a chain with more capacity, which keeps most of its layers. */
+const MIN_CAPACITY_ZONE_GAIN_FACTOR = 1.03;
 
 /**
  * The layers of a chain with less KV-cache capacity are redistributed if that
  * gains enough capacity.
  */
-const LOW_CAPACITY_THRESHOLD_TOKENS = 60_000;
-
-/** KV-cache capacity to plan for on a server that joins a chain. */
-const JOINING_SERVER_CAPACITY_TOKENS = 30_000;
+const LOW_CAPACITY_THRESHOLD_TOKENS = 100_000;
 
 /** KV-cache capacity that a chain keeps while its layers are redistributed. */
 const MIN_TRANSITION_CAPACITY_TOKENS = 20_000;
@@ -111,18 +105,42 @@
       planNewChains(model, servers)
     );
   }
+  const used = serversOf(chains);
+  const unused = servers.filter(({server}) => !used.has(server));
+  const additional = planAdditionalChain(model, servers, unused, chains, inUse);
+  if (additional) return additional;
   // Only the last chain, the most expensive one, is changed.
-  const unchangedServers = new Set(
-    chains.slice(0, -1).flatMap(({path}) => path.map(p => p.server.server)),
-  );
+  const unchangedServers = serversOf(chains.slice(0, -1));
   const others = servers.filter(({server}) => !unchangedServers.has(server));
-  if (lastChain.capacityTokens >= LOW_CAPACITY_THRESHOLD_TOKENS) {
-    return planJoiningServers(model, others, lastChain);
-  }
-  return (
-    planMoreCapacity(model, others, lastChain, inUse) ??
-    planJoiningServers(model, others, lastChain)
-  );
+  const moreCapacity =
+    lastChain.capacityTokens < LOW_CAPACITY_THRESHOLD_TOKENS
+      ? planMoreCapacity(model, servers, others, lastChain, inUse)
+      : undefined;
+  return moreCapacity ?? planCopies(model, unused, chains);
+}
+
+/**
+ * Forms another chain of the servers that no chain uses, if the zone serves more
+ * streams then. Undefined if they cannot hold all layers.
+ */
+function planAdditionalChain(
+  model: ModelSpec,
+  servers: readonly BackendServer[],
+  unused: readonly BackendServer[],
+  chains: readonly ServerChain[],
+  inUse: LayersInUse | undefined,
+): LayoutOrder[] | undefined {
+  const orders = restoreChain({
+    model,
+    servers: unused,
+    inUse: heldLayersInUse(unused, inUse),
+  });
+  if (!orders || orders.length === 0) return undefined;
+  const planned = findChains(model, applyOrders(servers, orders));
+  const isGain =
+    totalStreamsPerS(model, planned) >=
+    totalStreamsPerS(model, chains) * MIN_ADDITIONAL_CHAIN_GAIN_FACTOR;
+  return isGain ? orders : undefined;
 }
 
 /**
@@ -130,9 +148,12 @@
  * requests. Layers in use are released only after another server holds them;
  * until then a server with enough memory holds the layers of both its present
  * and its future stage.
+ * @param zone all servers of the zone
+ * @param servers those that may change: of the chain and of none
  */
 function planMoreCapacity(
   model: ModelSpec,
+  zone: readonly BackendServer[],
   servers: readonly BackendServer[],
   chain: ServerChain,
   recentUse: LayersInUse | undefined,
@@ -150,7 +171,10 @@
     minCapacityTokens,
     inUse,
   );
-  if (directDivision) return [...directDivision.orders];
+  if (directDivision) {
+    const orders = withoutUnchangedRanges(directDivision.orders);
+    return isImprovement(model, zone, orders) ? orders : undefined;
+  }
   const targetDivision = largestCapacityDivision(
     model,
     servers,
@@ -177,22 +201,23 @@
       : [];
   });
   const changes = withoutUnchangedRanges(orders ?? []);
-  return isImprovement(model, servers, changes, chain) ? changes : undefined;
+  return isImprovement(model, zone, changes) ? changes : undefined;
 }
 
 /**
- * Returns whether the chain gains KV-cache capacity, or at the same capacity
- * the servers hold more layers. Other changes could be repeated without end.
+ * Returns whether the zone serves more streams after the orders, or as many with
+ * more layers held. Other changes could be repeated without end.
  */
 function isImprovement(
   model: ModelSpec,
   servers: readonly BackendServer[],
   orders: readonly LayoutOrder[],
-  {capacityTokens}: ServerChain,
 ): boolean {
   const planned = applyOrders(servers, orders);
-  const plannedTokens = findChains(model, planned)[0]?.capacityTokens ?? 0;
-  if (plannedTokens !== capacityTokens) return plannedTokens > capacityTokens;
+  const streamsPerS = totalStreamsPerS(model, findChains(model, servers));
+  const plannedPerS = totalStreamsPerS(model, findChains(model, planned));
+  if (plannedPerS > streamsPerS * MIN_CAPACITY_ZONE_GAIN_FACTOR) return true;
+  if (plannedPerS < streamsPerS) return false;
   return countHeldLayers(planned) > countHeldLayers(servers);
 }
 
@@ -218,36 +243,6 @@
   return new Map(entries.flat());
 }
 
-/**
- * Lets servers without layers copy the slowest stages of a chain. The others
- * are not changed: while the servers of a zone are replaced one after another,
- * redistributing the layers for each would not come to an end.
- */
-function planJoiningServers(
-  model: ModelSpec,
-  servers: readonly BackendServer[],
-  chain: ServerChain,
-): LayoutOrder[] {
-  const relativeTime = ({server, firstLayer, endLayer}: PathStage) =>
-    (endLayer - firstLayer) * relativeLayerTime(model, server);
-  // Running requests cannot move to another first stage.
-  const stages = chain.path
-    .slice(1)
-    .sort((a, b) => relativeTime(b) - relativeTime(a));
-  const empty = servers.filter(({layers}) => !layers);
-  return sortBySpeed(model, empty).flatMap((server, i) => {
-    const stage = stages[i % Math.max(1, stages.length)];
-    const fittingLayers = layersThatFit(
-      model,
-      server,
-      JOINING_SERVER_CAPACITY_TOKENS,
-    );
-    if (!stage || fittingLayers === 0) return [];
-    const firstLayer = Math.max(0, stage.endLayer - fittingLayers);
-    return [{server, range: {firstLayer, endLayer: stage.endLayer}}];
-  });
-}
-
 /**
  * Returns the cheapest division with the largest KV-cache capacity option that
  * fits; undefined if none of at least `minCapacityTokens` does.
@@ -282,17 +277,19 @@
   model: ModelSpec,
   servers: readonly BackendServer[],
 ): LayoutOrder[] {
-  const sorted = sortBySpeed(model, servers);
-  const chains = Math.ceil(sorted.length / MAX_CHAIN_SERVERS);
-  const orders: LayoutOrder[] = [];
-  for (let chain = 0; chain < chains; chain++) {
-    // Servers are assigned in turn, so that each chain gets fast ones.
-    const members = sorted.filter((_, i) => i % chains === chain);
-    orders.push(
-      ...(buildChain(model, members, CHAIN_CAPACITY_OPTIONS_TOKENS) ?? []),
-    );
-  }
-  return withoutUnchangedRanges(orders);
+  const groups = groupServers(model, sortBySpeed(model, servers));
+  const orders = groups.flatMap(group => {
+    const {servers, counts, capacityTokens} = group;
+    const ranges = rangesWithCopies(model, servers, counts, capacityTokens);
+    return servers.map((server, i) => ({server, range: ranges[i]}));
+  });
+  const planned = applyOrders(servers, orders);
+  const joining = planCopies(
+    model,
+    planned.filter(({layers}) => !layers),
+    findChains(model, planned),
+  );
+  return withoutUnchangedRanges([...orders, ...joining]);
 }
 
 /** Builds one chain with the largest KV-cache capacity option that fits. */
@@ -302,7 +299,7 @@
   capacityOptionsTokens: readonly number[],
 ): LayoutOrder[] | undefined {
   for (const capacityTokens of capacityOptionsTokens) {
-    const counts = divideLayers(model, servers, model.layers, capacityTokens);
+    const counts = divideLayers(model, servers, capacityTokens);
     if (!counts) continue;
     const members = servers.filter((_, i) => counts[i] > 0);
     const usedCounts = counts.filter(count => count > 0);
--- a/packages/forwarding/src/core/placement/redistribute_layers.ts
+++ b/packages/forwarding/src/core/placement/redistribute_layers.ts
@@ -6,7 +6,8 @@
 import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import {kvCapacityTokensBeside} from '../fleet/server_capacity.js';
-import {stageStepMs} from '../paths/stage_step_time.js';
+import {BALANCE_REFERENCE_MS} from '../paths/find_path.js';
+import {IN_ZONE_HOP_MS, stageStepMs} from '../paths/stage_step_time.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {LayoutOrder} from './plan_layout.js';
 
@@ -17,12 +18,6 @@
  */
 const LAYER_LOAD_COST_MS = 0.05;
 
-/**
- * Step time of a stage at which its balance cost, which grows with the
- * square of the step time, equals the step time; the same as for paths.
- */
-const BALANCE_REFERENCE_MS = 0.5;
-
 /** Orders that lead to a division of all layers, with its cost. */
 export interface Division {
   readonly orders: readonly LayoutOrder[];
@@ -143,7 +138,8 @@
 ): number {
   const stepMs = stageStepMs(model, server, layerCount(stage));
   const balanceMs = (stepMs * stepMs) / BALANCE_REFERENCE_MS;
-  return stepMs + balanceMs + layerLoadCostMs * countAddedLayers(server, held);
+  const loadMs = layerLoadCostMs * countAddedLayers(server, held);
+  return stepMs + balanceMs + loadMs + IN_ZONE_HOP_MS;
 }
 
 /** Returns how many layers of `held` the server would have to load. */
--- a/packages/forwarding/test/entry_fleet.ts
+++ b/packages/forwarding/test/entry_fleet.ts
@@ -19,7 +19,10 @@
 
 /** Interval at which entries report to each other. */
 const REPORT_INTERVAL_MS = 200;
-const STEP_MS = 25;
+export const STEP_MS = 25;
+
+/** KV-cache tokens that each request reserves. */
+export const REQUEST_TOKENS = 860;
 
 /** The servers behind the entries and the requests that they run. */
 export interface EntryFleetOptions {
@@ -50,7 +53,7 @@
       model: MODEL,
       servers: laidOutFleet(),
       runMs: () => RUN_MS,
-      requestTokens: 860,
+      requestTokens: REQUEST_TOKENS,
     },
   ) {}
 
--- a/packages/forwarding/test/many_entries_test.ts
+++ b/packages/forwarding/test/many_entries_test.ts
@@ -1,8 +1,18 @@
 import {describe, it} from 'node:test';
-import {SharedRetryBudget} from '@azurecrank/forwarding';
+import {
+  ADMISSIBLE_CAPACITY_FRACTION,
+  SharedRetryBudget,
+  findChains,
+} from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {ENTRY_COUNT, EntryFleet, RUN_MS} from './entry_fleet.js';
-import {SERVICE} from './fleet_fixture.js';
+import {
+  ENTRY_COUNT,
+  EntryFleet,
+  REQUEST_TOKENS,
+  RUN_MS,
+  STEP_MS,
+} from './entry_fleet.js';
+import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
 
 const WINDOW_MS = 10_000;
 /** Limits of the deployment of incident 6, over all entries. */
@@ -58,11 +68,18 @@
   describe('whose requests wait for KV-cache tokens', () => {
     const REQUESTS_PER_ENTRY = 20;
     /** Requests that fit into the part of all chains that is admitted to. */
-    const CONCURRENT_REQUESTS = 270;
+    const CONCURRENT_REQUESTS = findChains(MODEL, laidOutFleet()).reduce(
+      (sum, {capacityTokens}) =>
+        sum +
+        Math.floor(
+          (capacityTokens * ADMISSIBLE_CAPACITY_FRACTION) / REQUEST_TOKENS,
+        ),
+      0,
+    );
     /** Target for the throughput as a fraction of its bound. */
     const MIN_THROUGHPUT = 0.9;
     /** More than there are KV-cache tokens for. */
-    const URGENT_REQUESTS = 300;
+    const URGENT_REQUESTS = Math.ceil(CONCURRENT_REQUESTS * 1.1);
     /** Share that the ranks below the urgent one keep. */
     const RESERVED_SHARE = 0.08;
 
@@ -89,11 +106,13 @@
     it('refuse hardly more than the servers cannot run', () => {
       const fleet = new EntryFleet();
       fleet.registerServers();
-      const offered = 2200;
+      const offered = Math.ceil(CONCURRENT_REQUESTS * 8.15);
+      // A third more than the servers can run.
+      const intervalMs = RUN_MS / (CONCURRENT_REQUESTS * (4 / 3));
       for (let i = 0; i < offered; i++) {
         const entry = fleet.entries[(i * 13) % ENTRY_COUNT];
         entry.enqueue(`r${i}`, 'ordinary', 425);
-        if (i % 3 === 0) fleet.advance(25);
+        if (fleet.nowMs < i * intervalMs) fleet.advance(STEP_MS);
       }
       const bound = CONCURRENT_REQUESTS * (1 + fleet.nowMs / RUN_MS);
       expect(bound).toBeLessThan(offered);
