Count running requests of former chains on shared servers

When a chain lost servers, the entries derive another one, which may have servers in common with chains whose requests still run. Their KV-cache tokens were counted by first server only, so the new chain looked empty: its servers refused new requests or preempted running ones, and a path that borrows servers of another chain looked free.

The loads keep the path of each first server that is in use and count its tokens for every path with a server in common. chain_loads_test.ts shows it; two of its three tests cannot pass without the paths, which did not exist before.

--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -2,10 +2,12 @@
  * Tracks the KV-cache tokens in use on each chain: those reserved by this entry
  * exactly, those of other entries as last reported. Pure; times are arguments.
  */
+import type {ServiceId} from '@azurecrank/core';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import {ADMISSIBLE_CAPACITY_FRACTION} from '../paths/chain_throughput.js';
 import type {ServerChain} from '../paths/find_chains.js';
+import type {ServerPath} from '../paths/server_path.js';
 
 /** Maximum age of the usage reported by a peer; older reports are dropped. */
 const MAX_PEER_USAGE_AGE_MS = 3000;
@@ -41,6 +43,8 @@
   private readonly ownTokensByFirst = new Map<ServerAddress, number>();
   private readonly peerUsages = new Map<string, PeerUsage>();
   private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
+  private readonly pathsByFirst = new Map<ServerAddress, ServerPath>();
+  private sharedFirstServers = new WeakMap<ServerPath, ServerAddress[]>();
 
   /** @param limits limits that servers name; none by default */
   constructor(private readonly limits?: Pick<SharedServerLimits, 'maySend'>) {}
@@ -67,6 +71,27 @@
     else this.ownTokensByFirst.delete(first);
   }
 
+  /**
+   * Records the chains that new requests of a service take. Requests of earlier
+   * chains go on with their servers, some of which may be part of other chains
+   * now; the tokens of both count for these.
+   */
+  recordChains(
+    service: ServiceId,
+    chains: readonly ServerChain[],
+    nowMs: number,
+  ): void {
+    this.sharedFirstServers = new WeakMap();
+    for (const [first, [{server}]] of this.pathsByFirst) {
+      if (server.service !== service) continue;
+      if (this.usedTokensOf(first, nowMs) === 0)
+        this.pathsByFirst.delete(first);
+    }
+    for (const {path} of chains) {
+      this.pathsByFirst.set(path[0].server.address, path);
+    }
+  }
+
   /** Replaces the usage reported by a peer. */
   setPeerUsage(
     node: string,
@@ -109,8 +134,34 @@
     }
   }
 
-  /** Tokens in use on a chain, by this entry and its peers. */
-  usedTokens(first: ServerAddress, nowMs: number): number {
+  /** Tokens in use on the servers of a path, by this entry and its peers. */
+  usedTokens(path: ServerPath, nowMs: number): number {
+    let firstServers = this.sharedFirstServers.get(path);
+    if (!firstServers) {
+      firstServers = this.firstServersSharing(path);
+      this.sharedFirstServers.set(path, firstServers);
+    }
+    return firstServers.reduce(
+      (sum, first) => sum + this.usedTokensOf(first, nowMs),
+      0,
+    );
+  }
+
+  /** First servers of the chains that have a server in common with the path. */
+  private firstServersSharing(path: ServerPath): ServerAddress[] {
+    const servers = new Set(path.map(({server}) => server.address));
+    const first = path[0].server.address;
+    const others = [...this.pathsByFirst].flatMap(([otherFirst, other]) =>
+      otherFirst !== first &&
+      other.some(({server}) => servers.has(server.address))
+        ? [otherFirst]
+        : [],
+    );
+    return [first, ...others];
+  }
+
+  /** Tokens of the requests that were sent to this first server. */
+  private usedTokensOf(first: ServerAddress, nowMs: number): number {
     let used = this.ownTokensByFirst.get(first) ?? 0;
     for (const [node, usage] of this.peerUsages) {
       if (nowMs - usage.atMs > MAX_PEER_USAGE_AGE_MS)
@@ -121,9 +172,8 @@
   }
 
   /** Fraction of the chain's capacity in use; above 1 it is overcommitted. */
-  usedFraction(chain: ServerChain, nowMs: number): number {
-    const first = chain.path[0].server.address;
-    return this.usedTokens(first, nowMs) / Math.max(1, chain.capacityTokens);
+  usedFraction({path, capacityTokens}: ServerChain, nowMs: number): number {
+    return this.usedTokens(path, nowMs) / Math.max(1, capacityTokens);
   }
 
   /** Tokens that the chain can still admit; 0 while it gets no request. */
@@ -137,9 +187,8 @@
 
   /** Admissible tokens that are not in use, also while none may be admitted. */
   unusedTokens(chain: ServerChain, nowMs: number): number {
-    const first = chain.path[0].server.address;
     const admissible = chain.capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
-    return Math.max(0, admissible - this.usedTokens(first, nowMs));
+    return Math.max(0, admissible - this.usedTokens(chain.path, nowMs));
   }
 
   /** Whether the chain can admit a request that uses this many tokens. */
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -276,7 +276,7 @@
 
   /** Chains of usable servers, cached until the fleet or model changes. */
   currentChains(): ServerChain[] {
-    const {fleet, service, model} = this.options;
+    const {fleet, loads, service, model, nowMs} = this.options;
     const spec = model();
     const isCached =
       fleet.revision === this.chainsRevision && spec === this.chainsModel;
@@ -286,7 +286,10 @@
     const before = describeChains(this.chains);
     this.chains = spec ? findChains(spec, fleet.usable(service)) : [];
     const hasChanged = describeChains(this.chains) !== before;
-    if (hasChanged) this.options.onChainsChanged(this.chains);
+    if (hasChanged) {
+      loads.recordChains(service, this.chains, nowMs());
+      this.options.onChainsChanged(this.chains);
+    }
     return this.chains;
   }
 }
--- /dev/null
+++ b/packages/forwarding/test/chain_loads_test.ts
@@ -0,0 +1,54 @@
+import {describe, it} from 'node:test';
+import {
+  ADMISSIBLE_CAPACITY_FRACTION,
+  ChainLoads,
+  findChains,
+  type ServerChain,
+} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
+
+describe('ChainLoads', () => {
+  const [chain, other] = findChains(MODEL, laidOutFleet());
+  const first = chain.path[0].server.address;
+  /** The chain as it is derived when its first server is lost. */
+  const successor: ServerChain = {...chain, path: chain.path.slice(1)};
+
+  function admissible({capacityTokens}: ServerChain): number {
+    return capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
+  }
+
+  // Guards against filling servers that still run the requests of another
+  // chain, which then refuse or preempt them (incident 9).
+  describe('when the servers of a chain become part of another one', () => {
+    it('counts the tokens of running requests for both', () => {
+      const loads = new ChainLoads();
+      loads.recordChains(SERVICE, [chain, other], 0);
+      loads.reserve(first, 50_000, 0);
+      loads.recordChains(SERVICE, [successor, other], 100);
+      expect(loads.freeTokens(successor, 100)).toEqual(
+        admissible(successor) - 50_000,
+      );
+      expect(loads.freeTokens(other, 100)).toEqual(admissible(other));
+    });
+
+    it('counts the tokens that peers use on the former chain', () => {
+      const loads = new ChainLoads();
+      loads.recordChains(SERVICE, [chain], 0);
+      loads.setPeerUsage('peer', {[first]: 30_000}, 0);
+      loads.recordChains(SERVICE, [successor], 100);
+      expect(loads.usedTokens(successor.path, 100)).toEqual(30_000);
+    });
+
+    it('forgets the former chain once its requests have ended', () => {
+      const loads = new ChainLoads();
+      loads.recordChains(SERVICE, [chain], 0);
+      loads.reserve(first, 50_000, 0);
+      loads.recordChains(SERVICE, [successor], 100);
+      loads.release(first, 50_000);
+      loads.recordChains(SERVICE, [successor], 200);
+      loads.reserve(first, 1000, 300);
+      expect(loads.usedTokens(successor.path, 300)).toEqual(0);
+    });
+  });
+});
