Estimate waits from all chains and the queues of all entries

An entry of many admits a few requests a second. Once it had admitted none for 0.2 s, it took the wait for endless and refused even the most urgent request, while places became free a few milliseconds later. In turn, requests waited in vain behind long queues of other entries, which the estimate did not see.

The measured rate counts only from five admissions on. Below that the wait follows from what the chains serve together and from the requests that go first at all entries. Both new tests in model_admission_test.ts failed before.

--- a/packages/forwarding/src/core/admission/admission_rate_meter.ts
+++ b/packages/forwarding/src/core/admission/admission_rate_meter.ts
@@ -9,6 +9,9 @@
 /** Minimum span of measurement before a rate is known. */
 const MIN_SPAN_MS = 200;
 
+/** Fewer admissions do not tell a rate: an entry of many admits few requests. */
+const MIN_ADMISSIONS = 5;
+
 interface Admission {
   readonly atMs: number;
   readonly costTokens: number;
@@ -39,7 +42,7 @@
     this.recentAdmissions.push({atMs: nowMs, costTokens});
   }
 
-  /** Returns undefined if not measuring, or not for long enough yet. */
+  /** Returns undefined if too little was measured yet. */
   rate(nowMs: number): AdmissionRate | undefined {
     if (this.measuringSinceMs === undefined) return undefined;
     const spanMs = Math.min(WINDOW_MS, nowMs - this.measuringSinceMs);
@@ -47,6 +50,7 @@
     this.recentAdmissions = this.recentAdmissions.filter(
       a => nowMs - a.atMs < WINDOW_MS,
     );
+    if (this.recentAdmissions.length < MIN_ADMISSIONS) return undefined;
     const tokens = this.recentAdmissions.reduce(
       (sum, a) => sum + a.costTokens,
       0,
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -13,6 +13,10 @@
 } from '@azurecrank/core';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import {
+  totalStreamsPerS,
+  typicalStreamTokens,
+} from '../paths/chain_throughput.js';
 import {findChains, type ServerChain} from '../paths/find_chains.js';
 import {formatPath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
@@ -62,6 +66,8 @@
  */
 const EARLY_REFUSAL_WAIT_FACTOR = 1.5;
 
+const MS_PER_SECOND = 1000;
+
 /** Bounds the share of the queue that one workspace can take. */
 const MAX_QUEUED_PER_WORKSPACE = 200;
 
@@ -139,15 +145,27 @@
 
   /** Whether the queue is so long that the request would miss its deadline. */
   private wouldMissDeadline(request: WaitingRequest): boolean {
+    if (this.hasFreeTokens(request.costTokens)) return false;
     const nowMs = this.options.nowMs();
-    const rate = this.rateMeter.rate(nowMs);
-    if (!rate || this.hasFreeTokens(request.costTokens)) return false;
-    const tokens = this.queue.costAhead(request) + request.costTokens;
-    const expectedWaitMs = tokens / rate.tokensPerMs;
     const maxWaitMs = request.firstTokenDeadlineAtMs - nowMs;
+    const expectedWaitMs = this.expectedWaitMs(request, nowMs);
     return expectedWaitMs > maxWaitMs * EARLY_REFUSAL_WAIT_FACTOR;
   }
 
+  /** Returns 0 if nothing is known of the wait. */
+  private expectedWaitMs(request: WaitingRequest, nowMs: number): number {
+    const tokens = this.queue.costAhead(request) + request.costTokens;
+    const measured = this.rateMeter.rate(nowMs);
+    if (measured) return tokens / measured.tokensPerMs;
+    const spec = this.options.model();
+    const chains = this.currentChains();
+    if (!spec || chains.length === 0) return 0;
+    const tokensPerMs =
+      (totalStreamsPerS(spec, chains) * typicalStreamTokens(spec)) /
+      MS_PER_SECOND;
+    return (tokens + this.tokensAhead(request, false, nowMs)) / tokensPerMs;
+  }
+
   /** Whether any chain can admit a request that uses this many tokens. */
   private hasFreeTokens(tokens: number): boolean {
     const {loads, nowMs} = this.options;
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -19,12 +19,13 @@
   readonly retriesAtMs: number[] = [];
   readonly loads = new ChainLoads();
   readonly fleet = new FleetView();
+  readonly peerQueues = new PeerQueues();
   readonly admission = new ModelAdmission({
     service: SERVICE,
     availabilityZone: 'river',
     fleet: this.fleet,
     loads: this.loads,
-    peerQueues: new PeerQueues(),
+    peerQueues: this.peerQueues,
     model: () => MODEL,
     nowMs: () => this.nowMs,
     onChainsChanged: () => {},
@@ -150,6 +151,29 @@
       expect(admission.refused).toEqual([]);
     });
 
+    // Guards against waits that an entry of many takes for endless, because it
+    // has admitted nothing itself for a while (incident 9).
+    it('keeps requests while it has admitted none itself', () => {
+      const admission = new AdmissionHarness();
+      admission.setUsedFraction(1);
+      admission.enqueue('a', 'urgent');
+      admission.nowMs = 210;
+      admission.setUsedFraction(1);
+      admission.enqueue('b', 'urgent');
+      expect(admission.refused).toEqual([]);
+    });
+
+    // Guards against waiting in vain behind the queues of many other entries.
+    it('refuses a request at once behind long queues of its peers', () => {
+      const admission = new AdmissionHarness();
+      admission.setUsedFraction(1);
+      const rank = {tokens: 800 * 200, oldestAgeMs: 300};
+      const queues = [{service: SERVICE, ranks: [rank, rank, rank]}];
+      admission.peerQueues.setQueues('peer', queues, 0);
+      admission.enqueue('a', 'urgent');
+      expect(admission.refused).toEqual(['a']);
+    });
+
     it('admits requests at once when tokens are free again', () => {
       const admission = overload(1000);
       admission.setUsedFraction(0);
