Keep the leaving marks of all incarnations of a server

Callers would see requests refused by, or lost with, a server that is about to end, although this entry knew of it: requests would reach it later than the bound after its leaving was acknowledged.

Cause: the fleet view held one start time for each server id. Peers repeat what has left in each report, so a report of an earlier incarnation with the same id replaced the mark of the present one, and the server counted as usable again until a report of the present one came. Found by reading.

Each id now has the start times of all incarnations that were marked.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -74,8 +74,11 @@
    * at which they are removed.
    */
   private readonly missingServers = new Map<ServerId, number>();
-  /** Start time of each server that was reported as leaving. */
-  private readonly leavingIncarnations = new Map<ServerId, number>();
+  /** Start times of the incarnations of each server that leave or have left. */
+  private readonly leavingIncarnations = new Map<
+    ServerId,
+    ReadonlySet<number>
+  >();
   private readonly observations = new Map<ServerId, Observation>();
   /** Last observation of each server that a registration has replaced. */
   private readonly supersededObservations = new Map<ServerId, Observation>();
@@ -333,26 +336,34 @@
 
   /** Records that this incarnation of a server takes no new requests. */
   markLeaving(server: ServerId, startedAtMs: number): void {
-    if (this.leavingIncarnations.get(server) === startedAtMs) return;
-    this.leavingIncarnations.set(server, startedAtMs);
+    const known = this.leavingIncarnations.get(server);
+    if (known?.has(startedAtMs)) return;
+    const incarnations = new Set(known).add(startedAtMs);
+    this.leavingIncarnations.set(server, incarnations);
     this.changeCount++;
   }
 
   /** Leaving servers with the start time of the incarnation, for peers. */
   leavingServers(): Array<[ServerId, number]> {
+    const marked = [...this.leavingIncarnations].flatMap(
+      ([server, startTimes]) =>
+        [...startTimes].map((atMs): [ServerId, number] => [server, atMs]),
+    );
     const draining = [...this.servers.values()]
-      .filter(({state}) => state === 'draining')
+      .filter(server => server.state === 'draining' && !this.isMarked(server))
       .map(({server, startedAtMs}): [ServerId, number] => [
         server,
         startedAtMs,
       ]);
-    return [...new Map([...this.leavingIncarnations, ...draining])];
+    return [...marked, ...draining];
   }
 
   isLeaving(server: BackendServer): boolean {
-    const {state, startedAtMs} = server;
-    if (state === 'draining') return true;
-    return this.leavingIncarnations.get(server.server) === startedAtMs;
+    return server.state === 'draining' || this.isMarked(server);
+  }
+
+  private isMarked({server, startedAtMs}: BackendServer): boolean {
+    return this.leavingIncarnations.get(server)?.has(startedAtMs) ?? false;
   }
 
   get(server: ServerId): BackendServer | undefined {
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -192,4 +192,19 @@
     fleet.markLeaving(empty.server, empty.startedAtMs);
     expect(fleet.usable(SERVICE).length).toEqual(0);
   });
+
+  // Guards against peers that undo the mark by repeating that an earlier
+  // incarnation with the same id has left.
+  it('excludes each incarnation that was reported as leaving', () => {
+    const fleet = new FleetView();
+    const [first, second] = [1, 2].map(i => empty.startedAtMs + i);
+    fleet.put({...registered, startedAtMs: second}, 0);
+    fleet.markLeaving(empty.server, second);
+    fleet.markLeaving(empty.server, first);
+    expect(fleet.usable(SERVICE)).toEqual([]);
+    expect(fleet.leavingServers()).toEqual([
+      [empty.server, second],
+      [empty.server, first],
+    ]);
+  });
 });
