Send nothing new to a server whose response states that it leaves

Callers would see requests sent to a server that is about to end, and refused by it or lost with it, while their entry reaches neither the store nor its peers: the server says in each of its responses that it leaves, and the entry did not read it.

The adapter reads the header, and what the servers respond to requests, health checks and report queries marks that incarnation as leaving in the fleet view. Chains, resumed streams, replacement paths, plain calls and layout orders take their servers from there, so the mark holds for all of them, also for requests that wait in the queue. Registrations do not undo it; the next start of the server is not marked. Peers are told at once, and each entry logs it once for each server. The statement counts for the first server of a path, from which the response comes; a server that a refusal names is asked by the health check, as before. Refusals of such servers count as retries for server_leaving. The header is passed on to callers unchanged. The tool that explains a request shows the new log line.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
 const platformNames =
   '/kv-(key|range|watch|txn|lease|keep)|azurecrank-(hop-count|expect-instance|' +
   'tenant|response-seal|token-count|prompt-prefix)|azurecrank_node_file|' +
-  'op\\/config|at-server/i';
+  'op\\/config|at-server|server-leaving/i';
 
 export default [
   {ignores: ['**/dist/', '**/node_modules/', 'target/', '*.config.js']},
--- a/packages/azurecrank/src/core/explaining/request_outcome.ts
+++ b/packages/azurecrank/src/core/explaining/request_outcome.ts
@@ -102,6 +102,7 @@
 
 const LOSS_MESSAGES = new Set([
   'server suspected',
+  'server leaves',
   'server refuses requests',
   'server has another pace',
 ]);
--- a/packages/azurecrank/src/core/explaining/request_timeline.ts
+++ b/packages/azurecrank/src/core/explaining/request_timeline.ts
@@ -43,6 +43,7 @@
 const SERVER_MESSAGES = new Set([
   'server suspected',
   'server answers again',
+  'server leaves',
   'server refuses requests',
   'server takes requests again',
   'server has another pace',
@@ -54,6 +55,7 @@
 /** Messages about servers that reduce the capacity of chains. */
 const CAPACITY_LOSS_MESSAGES = new Set([
   'server suspected',
+  'server leaves',
   'server refuses requests',
   'server has another pace',
 ]);
--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -58,6 +58,8 @@
   readonly notRun: boolean;
   /** The server on the path that failed, if the response names one. */
   readonly faultyAddress: ServerAddress | undefined;
+  /** Whether the server that responded states that it leaves. */
+  readonly isServerLeaving: boolean;
   /**
    * Requests a second that the server takes from all entries together, as long
    * as its responses say so; undefined if it names no limit.
@@ -161,6 +163,8 @@
   readonly layers: LayerRange | undefined;
   /** Whether the server carries out an order. */
   readonly isBusy: boolean;
+  /** Whether the server states that it leaves. */
+  readonly isLeaving: boolean;
   /**
    * Number of orders accepted since the start; the next order has to state it.
    */
@@ -206,7 +210,9 @@
 /** Result of a health check. */
 export type HealthCheckResult =
   | 'healthy'
-  /** The server answered that it leaves or fails. */
+  /** The server states that it leaves. */
+  | 'leaving'
+  /** The server answered that it leaves or fails, without saying which. */
   | 'unhealthy'
   /** The server was too busy to run the health check. */
   | 'busy'
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -334,13 +334,20 @@
     );
   }
 
-  /** Records that this incarnation of a server takes no new requests. */
-  markLeaving(server: ServerId, startedAtMs: number): void {
+  /**
+   * Records that this incarnation of a server takes no new requests. Returns
+   * whether that takes a registered server out of use.
+   */
+  markLeaving(server: ServerId, startedAtMs: number): boolean {
     const known = this.leavingIncarnations.get(server);
-    if (known?.has(startedAtMs)) return;
+    if (known?.has(startedAtMs)) return false;
+    const registered = this.servers.get(server);
     const incarnations = new Set(known).add(startedAtMs);
     this.leavingIncarnations.set(server, incarnations);
     this.changeCount++;
+    return (
+      registered?.startedAtMs === startedAtMs && registered.state === 'ready'
+    );
   }
 
   /** Leaving servers with the start time of the incarnation, for peers. */
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -250,7 +250,10 @@
       isStopping: message.isStopping,
     });
     for (const [server, startedAtMs] of message.leaving) {
-      fleet.markLeaving(server as ServerId, startedAtMs);
+      if (!fleet.markLeaving(server as ServerId, startedAtMs)) continue;
+      const peer = fleet.get(server as ServerId)?.address;
+      logger.info('server leaves', {peer, server, source: link.name});
+      onServerLost();
     }
     for (const tuple of message.held) {
       // Not forwarded to other peers: only own observations are broadcast.
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -12,6 +12,7 @@
 import type {ServerControl} from '../adapter/platform_adapter.js';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {LeavingServers} from '../fleet/leaving_servers.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {ServerChain} from '../paths/find_chains.js';
 import {LayersInUseTracker} from './layers_in_use.js';
@@ -21,6 +22,7 @@
   readonly lease: LeaseHolder;
   readonly control: ServerControl;
   readonly fleet: FleetView;
+  readonly leavingServers: LeavingServers;
   readonly table: () => RoutingTable | undefined;
   /** Whether any entry was last seen to hold the lease. */
   readonly isLeaseHeld: () => boolean;
@@ -233,7 +235,8 @@
    * the store is unavailable.
    */
   private async pollPendingOrders(): Promise<void> {
-    const {fleet, control, nowMs, logger, onLayersLoaded} = this.options;
+    const {fleet, leavingServers, control, nowMs, logger, onLayersLoaded} =
+      this.options;
     const servers = [...this.pendingOrders.keys()];
     let hasLoaded = false;
     const poll = async (id: ServerId): Promise<void> => {
@@ -245,6 +248,7 @@
           server.address,
           REPORT_TIMEOUT_MS,
         );
+        leavingServers.recordReport(server, report);
         // Reports lag, so one with other layers does not show a failed order.
         if (!isSameRange(report.layers, range)) return;
         fleet.observe({server: id, ...report}, nowMs());
@@ -299,7 +303,8 @@
   }
 
   private async sendOrder(order: LayoutOrder): Promise<void> {
-    const {control, lease, logger, nowMs, metrics} = this.options;
+    const {control, leavingServers, lease, logger, nowMs, metrics} =
+      this.options;
     const {server, range} = order;
     const fence = lease.fence;
     if (fence === undefined) return;
@@ -314,7 +319,9 @@
         server.address,
         REPORT_TIMEOUT_MS,
       );
-      if (isSameRange(report.layers, range) || report.isBusy) {
+      leavingServers.recordReport(server, report);
+      const hasLayers = isSameRange(report.layers, range);
+      if (hasLayers || report.isBusy || report.isLeaving) {
         this.pendingOrders.delete(server.server);
         return;
       }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -21,6 +21,7 @@
 import {ModelAdmission} from '../admission/model_admission.js';
 import {PeerQueues} from '../admission/peer_queues.js';
 import {FleetView} from '../fleet/fleet_view.js';
+import {LeavingServers} from '../fleet/leaving_servers.js';
 import {ForwardingGateway} from '../gateway/forwarding_gateway.js';
 import {EntryDirectory, LAYOUT_LEASE_KEY} from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
@@ -78,6 +79,7 @@
   private readonly disposables = new DisposableStore();
   private readonly logger: Logger;
   private readonly fleet = new FleetView();
+  private readonly leavingServers: LeavingServers;
   private readonly limits: SharedServerLimits;
   private readonly loads: ChainLoads;
   private readonly peerQueues = new PeerQueues();
@@ -171,10 +173,17 @@
     );
     const upstream = this.disposables.add(new HttpUpstream());
     const refusals = new RefusalSender(metrics, logger, 'fractions');
+    const onServerLost = () => {
+      this.mesh.broadcastShares();
+      this.layoutRunner?.checkNow();
+    };
+    const leavingServers = new LeavingServers({fleet, logger, onServerLost});
+    this.leavingServers = leavingServers;
     const common = {
       upstream,
       wire: adapter.wire,
       fleet,
+      leavingServers,
       budget: this.retryBudget,
       limits: this.limits,
       refusals,
@@ -185,6 +194,7 @@
     const failureDetector = new PathFailureDetector({
       control: adapter.control,
       fleet,
+      leavingServers,
       logger,
       nowMs,
       wasPaused: () => this.pauses.wasPausedWithin(PAUSE_GRACE_MS),
@@ -192,10 +202,7 @@
         this.tableHolder.table?.services.get(service)?.healthPath ?? '/',
       hasEventSince: (address, sinceMs) =>
         this.gateway.hasEventSince(address, sinceMs),
-      onServerLost: () => {
-        this.mesh.broadcastShares();
-        this.layoutRunner?.checkNow();
-      },
+      onServerLost,
     });
     this.disposables.addInterval(
       () => void failureDetector.checkMarkedServers(),
@@ -416,7 +423,7 @@
   }
 
   private startLayoutRunner(): void {
-    const {keyValue, logger, metrics, fleet, adapter} = this;
+    const {keyValue, logger, metrics, fleet, leavingServers, adapter} = this;
     const {node} = this.settings;
     const lease = new LeaseHolder(
       keyValue,
@@ -430,6 +437,7 @@
       lease,
       control: adapter.control,
       fleet,
+      leavingServers,
       table: () => this.tableHolder.table,
       isLeaseHeld: () => this.directory.hasLayoutLeaseHolder,
       logger,
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -7,12 +7,14 @@
   type Logger,
   type Metrics,
   type RefusalReason,
+  type RetryReason,
   type ServiceId,
 } from '@azurecrank/core';
 import type {RefusalSender} from 'azurecrank';
 import type {WireCodec} from '../adapter/platform_adapter.js';
 import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {LeavingServers} from '../fleet/leaving_servers.js';
 import type {
   AcceptedRequest,
   CallerExchange,
@@ -33,6 +35,7 @@
   readonly upstream: Upstream;
   readonly wire: WireCodec;
   readonly fleet: FleetView;
+  readonly leavingServers: LeavingServers;
   readonly balancer: CallLoadBalancer;
   readonly budget: SharedRetryBudget;
   readonly limits: SharedServerLimits;
@@ -121,7 +124,7 @@
       body: accepted.body,
       isSingleUse: accepted.route.kind === 'non_idempotent',
     };
-    this.sendAndBuffer(request);
+    this.sendAndBuffer(server, request);
     this.startAttemptTimer(remainingMs);
   }
 
@@ -147,7 +150,10 @@
   }
 
   /** Sends the call and buffers the whole response. */
-  private sendAndBuffer(request: Parameters<Upstream['send']>[0]): void {
+  private sendAndBuffer(
+    server: BackendServer,
+    request: Parameters<Upstream['send']>[0],
+  ): void {
     let status = 0;
     let head: string[] = [];
     const chunks: Buffer[] = [];
@@ -156,8 +162,9 @@
       onHead: (code, headers) => {
         status = code;
         head = [...headers];
-        const {wire, limits, nowMs} = this.options;
+        const {wire, limits, leavingServers, nowMs} = this.options;
         const metadata = wire.parseResponse(code, head);
+        if (metadata.isServerLeaving) leavingServers.record(server, 'request');
         limits.observe(request.address, metadata.requestLimitPerS, nowMs());
         const isMismatched =
           metadata.request !== '' && metadata.request !== this.exchange.request;
@@ -254,9 +261,9 @@
     if (!next) return false;
     const {budget, metrics, logger} = this.options;
     if (outcome.kind !== 'not_sent') budget.tryAcquire(this.service, nowMs);
-    const reason =
-      outcome.kind === 'not_sent' ? 'connect_failed' : 'refused_elsewhere';
-    metrics.increment('azurecrank_retries_total', {reason});
+    metrics.increment('azurecrank_retries_total', {
+      reason: this.retryReason(outcome),
+    });
     logger.info('call retried', {
       ...this.exchange.logFields(),
       step: 'call',
@@ -270,6 +277,14 @@
     return true;
   }
 
+  private retryReason({kind}: AttemptOutcome): RetryReason {
+    if (kind === 'not_sent') return 'connect_failed';
+    const isLeaving = this.server && this.options.fleet.isLeaving(this.server);
+    return kind === 'not_run' && isLeaving
+      ? 'server_leaving'
+      : 'refused_elsewhere';
+  }
+
   private finish(decision: CallDecision, outcome: AttemptOutcome): void {
     if (this.lastResponse) return this.deliver(this.lastResponse);
     const isUnknown = decision === 'fail' || this.mayHaveRun;
--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -8,6 +8,7 @@
 import type {ServerControl, ServerReport} from '../adapter/platform_adapter.js';
 import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {LeavingServers} from '../fleet/leaving_servers.js';
 import {formatPath, type ServerPath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {EventIntervalMonitor} from './event_interval_monitor.js';
@@ -15,6 +16,7 @@
 export interface PathFailureDetectorOptions {
   readonly control: ServerControl;
   readonly fleet: FleetView;
+  readonly leavingServers: LeavingServers;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Whether this process itself was recently paused. */
@@ -154,14 +156,16 @@
   }
 
   private async queryEnded(
-    {server, address, startedAtMs}: BackendServer,
+    server: BackendServer,
     queriedAtMs: number,
   ): Promise<boolean> {
-    const {control, fleet} = this.options;
+    const {address, startedAtMs} = server;
+    const {control, fleet, leavingServers} = this.options;
     try {
       const report = await control.fetchReport(address, REPORT_TIMEOUT_MS);
+      leavingServers.recordReport(server, report);
       if (report.startedAtMs <= startedAtMs) return false;
-      fleet.observe({server, ...report}, queriedAtMs);
+      fleet.observe({server: server.server, ...report}, queriedAtMs);
       return true;
     } catch (error) {
       const cause = String(error);
@@ -232,9 +236,12 @@
 
   /** Updates the fleet with the layers and slowdown factor of the report. */
   private recordReport(address: ServerAddress, report: ServerReport): void {
-    const {fleet, nowMs, logger} = this.options;
-    const server = fleet.findByAddress(address)?.server;
-    if (server) fleet.observe({server, ...report}, nowMs());
+    const {fleet, leavingServers, nowMs, logger} = this.options;
+    const known = fleet.findByAddress(address);
+    if (known) {
+      fleet.observe({server: known.server, ...report}, nowMs());
+      leavingServers.recordReport(known, report);
+    }
     const {slowdownFactor: pace} = report;
     if (!fleet.recordSlowdown(address, pace, nowMs())) return;
     logger.info('server has another pace', {peer: address, pace});
@@ -262,6 +269,8 @@
     const queriedAtMs = this.options.nowMs();
     const health = await control.checkHealth(address, path, REPORT_TIMEOUT_MS);
     switch (health) {
+      case 'leaving':
+        return this.options.leavingServers.record(server, 'health_check');
       case 'unhealthy':
         if (!fleet.markRefusing(address)) return;
         logger.warn('server refuses requests', {peer: address});
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -7,6 +7,7 @@
   type Logger,
   type Metrics,
   type RefusalReason,
+  type RetryReason,
   type ServiceId,
 } from '@azurecrank/core';
 import type {RefusalSender} from 'azurecrank';
@@ -20,8 +21,9 @@
   WaitingRequest,
 } from '../admission/model_admission.js';
 import type {ChainLoads} from '../admission/chain_loads.js';
-import type {ServerAddress} from '../fleet/backend_server.js';
+import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {LeavingServers} from '../fleet/leaving_servers.js';
 import type {
   AcceptedRequest,
   CallerExchange,
@@ -53,6 +55,7 @@
   readonly wire: WireCodec;
   readonly control: ServerControl;
   readonly fleet: FleetView;
+  readonly leavingServers: LeavingServers;
   readonly failureDetector: PathFailureDetector;
   readonly loads: ChainLoads;
   readonly budget: SharedRetryBudget;
@@ -290,17 +293,21 @@
         body: accepted.body,
         isSingleUse: false,
       },
-      this.createHandlers(address),
+      this.createHandlers(path[0].server),
     );
   }
 
-  private createHandlers(first: ServerAddress): UpstreamHandlers {
-    const {wire, limits, nowMs} = this.options;
+  private createHandlers(first: BackendServer): UpstreamHandlers {
+    const {wire, limits, leavingServers, nowMs} = this.options;
     return createStreamHandlers({
       wire,
       request: this.exchange.request,
-      onMetadata: ({requestLimitPerS}) =>
-        limits.observe(first, requestLimitPerS, nowMs()),
+      onMetadata: ({isServerLeaving, requestLimitPerS}) => {
+        // A response comes from the first server of its path, so the statement
+        // is that server's, even if the response names another faulty server.
+        if (isServerLeaving) leavingServers.record(first, 'request');
+        limits.observe(first.address, requestLimitPerS, nowMs());
+      },
       onHead: headers => this.forwardHead(headers),
       onData: chunk => this.forwardEvents(chunk),
       onEnd: isLengthKnown => {
@@ -478,11 +485,11 @@
       silentMs: now - this.lastEventAtMs,
       callerIdleTimeoutMs: callerIdleTimeoutMs(this.accepted.route),
     });
+    const reason = this.retryReason(isRefusal);
     this.releaseReservation();
     this.path = [];
     this.upstream = undefined;
     if (decision === 'queue_again' || decision === 'resume') {
-      const reason = isRefusal ? 'refused_elsewhere' : 'stage_lost';
       metrics.increment('azurecrank_retries_total', {reason});
       this.log('stream looks for another chain', {
         decision,
@@ -501,6 +508,12 @@
     this.endIncomplete(decision);
   }
 
+  private retryReason(isRefusal: boolean): RetryReason {
+    if (!isRefusal) return 'stage_lost';
+    const isLeaving = this.options.fleet.isLeaving(this.path[0].server);
+    return isLeaving ? 'server_leaving' : 'refused_elsewhere';
+  }
+
   /**
    * Continues on a chain with free capacity; if there is none, or no retry is
    * left, `tick` tries again.
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './core/admission/peer_queues.js';
 export * from './core/fleet/backend_server.js';
 export * from './core/fleet/fleet_view.js';
+export * from './core/fleet/leaving_servers.js';
 export * from './core/fleet/prefix_watcher.js';
 export * from './core/fleet/server_capacity.js';
 export * from './core/fleet/server_exclusions.js';
--- a/packages/forwarding/test/entry_mesh_test.ts
+++ b/packages/forwarding/test/entry_mesh_test.ts
@@ -12,7 +12,7 @@
   type PromptPartKey,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {SERVICE} from './fleet_fixture.js';
+import {SERVICE, emptyFleet} from './fleet_fixture.js';
 
 const CRASHING = 'assistant/crash' as PromptPartKey;
 const OTHER = 'assistant/other' as PromptPartKey;
@@ -22,6 +22,8 @@
 class MeshEntry implements Disposable {
   readonly quarantine = new PromptQuarantine(() => {});
   readonly limits: SharedServerLimits;
+  readonly fleet = new FleetView();
+  serversLost = 0;
   readonly mesh: EntryMesh;
 
   constructor(node: string) {
@@ -44,7 +46,7 @@
       }),
       quarantine: this.quarantine,
       limits: this.limits,
-      fleet: new FleetView(),
+      fleet: this.fleet,
       logger: new Logger(node, 'silent'),
       nowMs,
       peerQueues: new PeerQueues(),
@@ -52,7 +54,7 @@
       storedTable: () => ({version: 0, text: ''}),
       updateTable: () => {},
       hasEventSince: () => false,
-      onServerLost: () => {},
+      onServerLost: () => void this.serversLost++,
       isStopping: () => false,
       onLayoutHandover: () => {},
       layoutFence: () => 0,
@@ -108,6 +110,16 @@
     expect(isBlocked(CRASHING)).toEqual(true);
   });
 
+  it('tells peers of servers that leave', async () => {
+    const [server] = emptyFleet();
+    for (const {fleet} of [a, b]) fleet.put(server, 0);
+    expect(a.fleet.markLeaving(server.server, server.startedAtMs)).toEqual(
+      true,
+    );
+    await waitUntil('leaving server known', () => b.fleet.isLeaving(server));
+    expect([a.serversLost, b.serversLost]).toEqual([0, 1]);
+  });
+
   it('tells peers of the limits that servers name', async () => {
     const maySend = () => b.limits.maySend(ADDRESS, SERVICE, performance.now());
     expect(maySend()).toEqual(true);
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -13,6 +13,7 @@
   CallerExchange,
   ChainLoads,
   FleetView,
+  LeavingServers,
   ModelAdmission,
   PathFailureDetector,
   PeerQueues,
@@ -108,7 +109,7 @@
 }
 
 /** Passes headers through; the header `not-run` marks a refused request. */
-class FakeWire extends WireCodec {
+export class FakeWire extends WireCodec {
   override parseCallerHeaders(): CallerMetadata {
     return CALLER_FACTS;
   }
@@ -122,6 +123,7 @@
       request: REQUEST,
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
+      isServerLeaving: headers.includes('leaving'),
       requestLimitPerS: undefined,
     };
   }
@@ -141,6 +143,8 @@
   refusingConnections = new Set<ServerAddress>();
   /** Server that all reports name as stalling requests. */
   stalledAt: ServerAddress | undefined;
+  /** Servers whose reports state that they leave. */
+  leaving = new Set<ServerAddress>();
 
   override async fetchReport(address: ServerAddress): Promise<ServerReport> {
     if (this.refusingConnections.has(address)) throw new Error('ECONNREFUSED');
@@ -154,6 +158,7 @@
     return {
       layers: this.layersOf(address),
       isBusy: false,
+      isLeaving: this.leaving.has(address),
       orderSequence: 0,
       startedAtMs: 1,
       slowdownFactor: 1,
@@ -186,7 +191,7 @@
 
 const REQUEST = 'r1' as RequestId;
 
-const CALLER_FACTS: CallerMetadata = {
+export const CALLER_FACTS: CallerMetadata = {
   request: REQUEST,
   deadlineMs: 20_000,
   key: undefined,
@@ -268,8 +273,12 @@
   readonly admission: ModelAdmission;
   readonly relay: StreamRelay;
   readonly failureDetector: PathFailureDetector;
+  readonly leavingServers: LeavingServers;
+  private readonly logger = new Logger('test', 'silent');
   /** Time of the last event of any stream through any server. */
   lastEventAtMs = -Infinity;
+  /** Number of servers that were taken out of use because they leave. */
+  serversLost = 0;
 
   constructor(
     route: Partial<Route> = {},
@@ -277,9 +286,10 @@
     readonly quarantine = new PromptQuarantine(() => {}),
   ) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
-    const logger = new Logger('test', 'silent');
-    const metrics = new Metrics();
+    const {fleet, logger} = this;
     const nowMs = () => this.nowMs;
+    const onServerLost = () => void this.serversLost++;
+    this.leavingServers = new LeavingServers({fleet, logger, onServerLost});
     this.admission = new ModelAdmission({
       service: SERVICE as ServiceId,
       availabilityZone: 'river',
@@ -292,7 +302,8 @@
     });
     this.failureDetector = new PathFailureDetector({
       control: this.control,
-      fleet: this.fleet,
+      fleet,
+      leavingServers: this.leavingServers,
       logger,
       nowMs,
       wasPaused: () => false,
@@ -300,6 +311,18 @@
       hasEventSince: (_, sinceMs) => this.lastEventAtMs >= sinceMs,
       onServerLost: () => {},
     });
+    this.relay = this.startStream(route, promptParts, this.res);
+  }
+
+  /** Starts another stream with its own caller. */
+  startStream(
+    route: Partial<Route> = {},
+    promptParts: readonly string[] = [],
+    res = new FakeResponse(),
+  ): StreamRelay {
+    const {logger} = this;
+    const metrics = new Metrics();
+    const nowMs = () => this.nowMs;
     const req = {
       rawHeaders: [],
       method: 'POST',
@@ -308,7 +331,7 @@
     };
     const exchange = new CallerExchange(
       req as unknown as IncomingMessage,
-      this.res as unknown as ServerResponse,
+      res as unknown as ServerResponse,
       {...CALLER_FACTS, sharedPromptParts: promptParts as PromptPartId[]},
       this.nowMs,
     );
@@ -323,10 +346,10 @@
       deadlineAtMs: accepted.deadlineAtMs,
       firstTokenDeadlineAtMs: this.nowMs + 400,
       enqueuedAtMs: this.nowMs,
-      admit: chain => this.relay.start(chain),
-      refuse: reason => this.relay.refuse(reason, 1000),
+      admit: chain => relay.start(chain),
+      refuse: reason => relay.refuse(reason, 1000),
     };
-    this.relay = new StreamRelay(
+    const relay = new StreamRelay(
       exchange,
       accepted,
       item,
@@ -337,6 +360,7 @@
         wire: new FakeWire(),
         control: this.control,
         fleet: this.fleet,
+        leavingServers: this.leavingServers,
         failureDetector: this.failureDetector,
         loads: this.loads,
         service: SERVICE,
@@ -350,7 +374,8 @@
         onFinished: () => {},
       },
     );
-    this.relay.enqueue();
+    relay.enqueue();
+    return relay;
   }
 
   /** Makes a peer report that it uses all KV-cache tokens for the next 10 s. */
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -17,6 +17,7 @@
   CallerExchange,
   ChainLoads,
   FleetView,
+  LeavingServers,
   ModelAdmission,
   PathFailureDetector,
   PeerQueues,
@@ -400,6 +401,7 @@
       request: '',
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
+      isServerLeaving: headers.includes('leaving'),
       requestLimitPerS: headers.includes(LIMIT_HEADER)
         ? Number(limit)
         : undefined,
@@ -424,6 +426,7 @@
     return {
       layers: server?.layers,
       isBusy: false,
+      isLeaving: false,
       orderSequence: 0,
       startedAtMs: this.simulation.startedAtMs(address),
       slowdownFactor: 1,
@@ -482,6 +485,7 @@
   private readonly quarantine = new PromptQuarantine(() => this.reportSoon());
   private readonly streams = new Set<StreamRelay>();
   private readonly upstream: SimulatedUpstream;
+  private readonly leavingServers: LeavingServers;
   private readonly failureDetector: PathFailureDetector;
   private readonly metrics = new Metrics();
   private readonly logger = new Logger('test', 'silent');
@@ -516,9 +520,15 @@
       nowMs,
       onChainsChanged: () => {},
     });
+    this.leavingServers = new LeavingServers({
+      fleet: this.fleet,
+      logger: this.logger,
+      onServerLost: () => this.reportSoon(),
+    });
     this.failureDetector = new PathFailureDetector({
       control: this.control,
       fleet: this.fleet,
+      leavingServers: this.leavingServers,
       logger: this.logger,
       nowMs,
       wasPaused: () => false,
@@ -553,6 +563,7 @@
       wire: new SimulatedWire(),
       control: this.control,
       fleet: this.fleet,
+      leavingServers: this.leavingServers,
       failureDetector: this.failureDetector,
       loads: this.loads,
       budget: this.budget,
