Keep requests from servers until their Retry-After has passed

A server that refuses a request with 503 may say in Retry-After for how long it wants nothing more from the entry. The entry ignored the header: it came back to a chain after its own back-off of 0.3 to 2.4 s, and to a server of plain calls with the next call. Callers got a Retry-After of 100 ms for calls although no server would take one for seconds.

Each entry now keeps a hold for the server that refused (the one that the response names, if it is on the path), until the time has passed or the server starts again; an hour at most. Meanwhile it gets no plain call and no stream whose chain includes it, is no new stage of a running stream, and is left out of health checks after refusals, reports about slow paths and moves off impaired servers. The first request afterwards is a trial; others wait until it is accepted, at most 1 s. Responses to another request set no hold, since a server may write an earlier refusal twice.

Requests wait for the end of a hold if they can still be served in time, else they are refused at once with the new reason server_backoff and the rest of the hold as Retry-After. An entry whose chains are all on hold reports no waiting requests, so that its peers leave no tokens to them.

--- a/packages/azurecrank/src/cli/explain/explanations.ts
+++ b/packages/azurecrank/src/cli/explain/explanations.ts
@@ -46,6 +46,7 @@
   no_chain: NOT_RUN,
   no_server: NOT_RUN,
   server_limit_reached: NOT_RUN,
+  server_backoff: NOT_RUN,
   shed_for_higher_rank: NOT_RUN,
   deadline_unreachable: NOT_RUN,
   crashing_prompt: NOT_RUN,
--- a/packages/core/src/core/errors/errors_data.ts
+++ b/packages/core/src/core/errors/errors_data.ts
@@ -136,6 +136,12 @@
     hint: 'Send fewer requests, or find out what slows the servers down.',
     retryAfterS: 1,
   },
+  server_backoff: {
+    status: 503,
+    title: 'All servers asked for a pause that lasts too long for the request',
+    hint: 'Send the request again after the time given.',
+    retryAfterS: 1,
+  },
   shed_for_higher_rank: {
     status: 503,
     title: 'Dropped from a full queue in favour of a higher rank',
--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -63,6 +63,11 @@
    * as its responses say so; undefined if it names no limit.
    */
   readonly requestLimitPerS: number | undefined;
+  /**
+   * Time for which the refusing server, `faultyAddress` if there is one, wants
+   * no more requests from this entry; undefined if it names none.
+   */
+  readonly retryAfterMs: number | undefined;
 }
 
 /** Translates between the HTTP headers of a platform and metadata. */
--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -3,6 +3,7 @@
  * exactly, those of other entries as last reported. Pure; times are arguments.
  */
 import type {ServerAddress} from '../fleet/backend_server.js';
+import type {ServerHolds} from '../limits/server_holds.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {ServerChain} from '../paths/find_chains.js';
 
@@ -48,8 +49,14 @@
   private readonly peerUsages = new Map<string, PeerUsage>();
   private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
 
-  /** @param limits limits that servers name; none by default */
-  constructor(private readonly limits?: Pick<SharedServerLimits, 'maySend'>) {}
+  /**
+   * @param limits limits that servers name; none by default
+   * @param holds servers that want no requests for now; none by default
+   */
+  constructor(
+    private readonly limits?: Pick<SharedServerLimits, 'maySend'>,
+    private readonly holds?: Pick<ServerHolds, 'maySend' | 'remainingMs'>,
+  ) {}
 
   /** Tokens reserved by this entry, by the first server of the chain. */
   ownUsedTokens(): Record<string, number> {
@@ -132,11 +139,26 @@
     return this.usedTokens(first, nowMs) / Math.max(1, chain.capacityTokens);
   }
 
+  /** Time for which a server of the chain wants no requests; 0 if none does. */
+  heldForMs({path}: ServerChain, nowMs: number): number {
+    const {holds} = this;
+    if (!holds) return 0;
+    return Math.max(
+      ...path.map(({server}) => holds.remainingMs(server, nowMs)),
+    );
+  }
+
   /** Tokens that the chain can still admit; 0 while it gets no request. */
   freeTokens(chain: ServerChain, nowMs: number): number {
     const {address: first, service} = chain.path[0].server;
     const refusing = this.refusingChains.get(first);
     if (refusing && nowMs < refusing.closedUntilMs) return 0;
+    const {holds} = this;
+    // A request passes all servers of the chain.
+    const isHeld =
+      holds !== undefined &&
+      chain.path.some(({server}) => !holds.maySend(server, nowMs));
+    if (isHeld) return 0;
     if (this.limits && !this.limits.maySend(first, service, nowMs)) return 0;
     const admissible = chain.capacityTokens * ADMISSIBLE_CAPACITY_FRACTION;
     return Math.max(0, admissible - this.usedTokens(first, nowMs));
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -77,10 +77,17 @@
 
   constructor(private readonly options: ModelAdmissionOptions) {}
 
-  /** The waiting requests, for the reports to other entries. */
+  /**
+   * The waiting requests, for the reports to other entries. While this entry
+   * may send to no chain, there are none for which others should leave tokens.
+   */
   queues(): ServiceQueues {
     const {service, nowMs} = this.options;
     const now = nowMs();
+    if (this.heldForMs(now) > 0) {
+      const none = {tokens: 0, oldestAgeMs: 0};
+      return {service, ranks: RANKS.map(() => none)};
+    }
     const tokens = this.queue.waitingCostByRank();
     const oldestAtMs = this.queue.oldestEnqueuedAtMs();
     return {
@@ -99,16 +106,22 @@
 
   enqueue(request: WaitingRequest): void {
     if (this.wouldMissDeadline(request)) {
-      return this.refuse(request, this.refusalReason());
+      return this.refuse(request, this.refusalReason(this.options.nowMs()));
     }
     const {refused} = this.queue.enqueue(request);
     for (const {item, reason} of refused) this.refuse(item, reason);
     this.processQueue();
   }
 
-  /** Whether the queue is so long that the request would miss its deadline. */
+  /**
+   * Whether holds on all chains or the queue are so long that the request would
+   * miss its deadline.
+   */
   private wouldMissDeadline(request: WaitingRequest): boolean {
     const nowMs = this.options.nowMs();
+    const heldForMs = this.heldForMs(nowMs);
+    if (heldForMs > 0)
+      return request.firstTokenDeadlineAtMs <= nowMs + heldForMs;
     const rate = this.rateMeter.rate(nowMs);
     if (!rate || this.hasFreeTokens(request.costTokens)) return false;
     const tokens = this.queue.costAhead(request) + request.costTokens;
@@ -126,7 +139,16 @@
     );
   }
 
-  private refusalReason(): RefusalReason {
+  /** Time for which servers of every chain want no requests, 0 if not all. */
+  private heldForMs(nowMs: number): number {
+    const {loads} = this.options;
+    const chains = this.currentChains();
+    if (chains.length === 0) return 0;
+    return Math.min(...chains.map(chain => loads.heldForMs(chain, nowMs)));
+  }
+
+  private refusalReason(nowMs: number): RefusalReason {
+    if (this.heldForMs(nowMs) > 0) return 'server_backoff';
     return this.currentChains().length > 0
       ? 'deadline_unreachable'
       : 'no_chain';
@@ -138,7 +160,12 @@
     const leftMs = item.deadlineAtMs - nowMs;
     item.refuse(
       reason,
-      this.retrySchedule.nextDelayMs(nowMs, leftMs, requestsPerMs),
+      this.retrySchedule.nextDelayMs(
+        nowMs,
+        leftMs,
+        requestsPerMs,
+        this.heldForMs(nowMs),
+      ),
     );
   }
 
@@ -158,12 +185,18 @@
     this.queue.settleCost(request, usedTokens);
   }
 
-  /** Admits requests that fit and refuses those past their deadline. */
+  /**
+   * Admits requests that fit and refuses those past their deadline, or with one
+   * before the first chain takes requests again.
+   */
   processQueue(): void {
     const now = this.options.nowMs();
-    for (const item of this.queue.expire(now)) {
-      this.refuse(item, this.refusalReason());
+    const heldForMs = this.heldForMs(now);
+    for (const item of this.queue.expire(now + heldForMs)) {
+      this.refuse(item, this.refusalReason(now));
     }
+    // The rate during a hold does not show how long requests wait after it.
+    if (heldForMs > 0) return this.rateMeter.stopMeasuring();
     this.admitWaiting(now);
     if (this.queue.size > 0) this.rateMeter.startMeasuring(now);
     else if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS))
--- a/packages/forwarding/src/core/admission/retry_after_schedule.ts
+++ b/packages/forwarding/src/core/admission/retry_after_schedule.ts
@@ -23,23 +23,26 @@
    * Returns the time in milliseconds after which the caller should retry.
    * @param remainingMs time until the caller's deadline
    * @param requestsPerMs current rate of admissions
+   * @param minDelayMs time within which no request can be served
    */
   nextDelayMs(
     nowMs: number,
     remainingMs: number,
     requestsPerMs: number,
+    minDelayMs = 0,
   ): number {
+    const earliestMs = Math.max(MIN_RETRY_DELAY_MS, minDelayMs);
     const maxDelayMs = Math.max(
-      MIN_RETRY_DELAY_MS,
+      earliestMs,
       remainingMs * MAX_REMAINING_TIME_FRACTION,
     );
     const spacingMs =
       1 / Math.max(requestsPerMs * RETRY_RATE_FRACTION, 1 / maxDelayMs);
     const atMs = Math.min(
-      Math.max(nowMs + MIN_RETRY_DELAY_MS, this.lastRetryAtMs + spacingMs),
+      Math.max(nowMs + earliestMs, this.lastRetryAtMs + spacingMs),
       nowMs + maxDelayMs,
     );
     this.lastRetryAtMs = Math.max(this.lastRetryAtMs, atMs);
-    return Math.round(atMs - nowMs);
+    return Math.ceil(atMs - nowMs);
   }
 }
--- a/packages/forwarding/src/core/gateway/caller_exchange.ts
+++ b/packages/forwarding/src/core/gateway/caller_exchange.ts
@@ -45,6 +45,11 @@
     return this.res.destroyed && !this.res.writableFinished;
   }
 
+  /** Whether a response states the id of this request, or none. */
+  isAnsweredBy({request}: {readonly request: string}): boolean {
+    return request === '' || request === this.request;
+  }
+
   logFields(): LogFields {
     const {request, accepted} = this;
     return {
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -32,6 +32,7 @@
   PathFailureDetector,
 } from '../relay/path_failure_detector.js';
 import {HttpUpstream} from '../relay/upstream.js';
+import {ServerHolds} from '../limits/server_holds.js';
 import {SharedServerLimits} from '../limits/shared_server_limits.js';
 import {
   PromptQuarantine,
@@ -79,6 +80,7 @@
   private readonly logger: Logger;
   private readonly fleet = new FleetView();
   private readonly limits: SharedServerLimits;
+  private readonly holds: ServerHolds;
   private readonly loads: ChainLoads;
   private readonly peerQueues = new PeerQueues();
   private readonly callBalancer = new CallLoadBalancer();
@@ -121,7 +123,11 @@
         this.broadcastSoon();
       },
     });
-    const loads = new ChainLoads(this.limits);
+    const holds = new ServerHolds((peer, holdMs) =>
+      logger.info('server wants no requests for now', {peer, holdMs}),
+    );
+    this.holds = holds;
+    const loads = new ChainLoads(this.limits, holds);
     this.loads = loads;
     const nowMs = () => performance.now();
     this.tableHolder = new TableHolder(adapter.store, logger, table =>
@@ -177,6 +183,7 @@
       fleet,
       budget: this.retryBudget,
       limits: this.limits,
+      holds,
       refusals,
       metrics,
       logger,
@@ -185,6 +192,7 @@
     const failureDetector = new PathFailureDetector({
       control: adapter.control,
       fleet,
+      holds,
       logger,
       nowMs,
       wasPaused: () => this.pauses.wasPausedWithin(PAUSE_GRACE_MS),
@@ -407,6 +415,7 @@
     const addresses = new Set(servers.map(({address}) => address));
     this.callBalancer.retainServers(addresses);
     this.limits.retainServers(addresses);
+    this.holds.retainServers(addresses);
     this.mesh.broadcastShares();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -11,16 +11,14 @@
 } from '@azurecrank/core';
 import type {RefusalSender} from 'azurecrank';
 import type {WireCodec} from '../adapter/platform_adapter.js';
-import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
-import type {FleetView} from '../fleet/fleet_view.js';
+import type {BackendServer} from '../fleet/backend_server.js';
 import type {
   AcceptedRequest,
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeResponse} from '../gateway/write_response.js';
-import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
-import type {CallLoadBalancer} from './call_load_balancer.js';
+import {CallServers, type CallServersOptions} from './call_servers.js';
 import {
   decideCall,
   type AttemptOutcome,
@@ -28,14 +26,10 @@
 } from './decide_call.js';
 import type {Exchange, Upstream} from './upstream.js';
 
-export interface CallRelayOptions {
-  readonly availabilityZone: string;
+export interface CallRelayOptions extends CallServersOptions {
   readonly upstream: Upstream;
   readonly wire: WireCodec;
-  readonly fleet: FleetView;
-  readonly balancer: CallLoadBalancer;
   readonly budget: SharedRetryBudget;
-  readonly limits: SharedServerLimits;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -60,12 +54,18 @@
 /** Time before the deadline at which the caller gets an error. */
 const DEADLINE_MARGIN_MS = 10;
 
-/** Retry delay reported to the caller when no server ran the call. */
+/** Calls that waited for the end of a hold start within this time after it. */
+const HOLD_END_SPREAD_MS = 200;
+
+/** Interval at which a call checks whether the trial after a hold has ended. */
+const TRIAL_CHECK_INTERVAL_MS = 40;
+
+/** Minimum retry delay reported to the caller when no server ran the call. */
 const RETRY_AFTER_MS = 100;
 
 /** Relays one call, including all its attempts. */
 export class CallRelay {
-  private readonly triedServers = new Set<ServerAddress>();
+  private readonly servers: CallServers;
   private upstream: Exchange | undefined;
   private timer: NodeJS.Timeout | undefined;
   private server: BackendServer | undefined;
@@ -82,7 +82,9 @@
     private readonly accepted: AcceptedRequest,
     private readonly service: ServiceId,
     private readonly options: CallRelayOptions,
-  ) {}
+  ) {
+    this.servers = new CallServers(service, options);
+  }
 
   start(): void {
     this.exchange.res.once('close', () => this.handleCallerDisconnect());
@@ -92,14 +94,15 @@
   private startAttempt(): void {
     const {options, accepted, exchange} = this;
     const nowMs = options.nowMs();
-    const server = this.selectServer(nowMs);
-    if (!server) return this.refuseWithoutServer(nowMs);
+    const server = this.servers.select(nowMs);
+    if (!server) {
+      if (this.waitForHold(nowMs)) return;
+      return this.refuseWithoutServer(nowMs);
+    }
     this.server = server;
-    options.limits.recordSend(server.address, nowMs);
+    this.servers.recordAttempt(server, nowMs);
     this.sentAtMs = nowMs;
     this.attempts++;
-    this.triedServers.add(server.address);
-    options.balancer.recordStart(server.address, nowMs);
     const remainingMs = accepted.deadlineAtMs - nowMs;
     const headers = options.wire.toServerHeaders(
       exchange.req.rawHeaders,
@@ -121,33 +124,32 @@
       body: accepted.body,
       isSingleUse: accepted.route.kind === 'non_idempotent',
     };
-    this.sendAndBuffer(request);
+    this.sendAndBuffer(request, server);
     this.startAttemptTimer(remainingMs);
   }
 
   /**
-   * Prefers usable servers; falls back to suspected or refusing ones. Leaves out
-   * servers that take no more requests for now.
+   * Waits for the first hold to end if all untried servers are on hold. Returns
+   * false if they are not, or if too little time would be left for the call.
    */
-  private selectServer(nowMs: number): BackendServer | undefined {
-    const {fleet, balancer, availabilityZone, limits} = this.options;
-    const select = (candidates: BackendServer[]) =>
-      balancer.select(
-        candidates.filter(({address, service}) =>
-          limits.maySend(address, service, nowMs),
-        ),
-        this.triedServers,
-        availabilityZone,
-        nowMs,
-      );
-    return (
-      select(fleet.usable(this.service)) ??
-      select(fleet.nonLeaving(this.service))
-    );
+  private waitForHold(nowMs: number): boolean {
+    const heldForMs = this.servers.untriedHeldForMs(nowMs);
+    if (heldForMs === undefined) return false;
+    const {deadlineAtMs, route} = this.accepted;
+    const waitMs =
+      heldForMs > 0
+        ? heldForMs + HOLD_END_SPREAD_MS * Math.random()
+        : TRIAL_CHECK_INTERVAL_MS;
+    if (nowMs + waitMs + route.latencyTargetMs > deadlineAtMs) return false;
+    this.timer = setTimeout(() => this.startAttempt(), waitMs);
+    return true;
   }
 
   /** Sends the call and buffers the whole response. */
-  private sendAndBuffer(request: Parameters<Upstream['send']>[0]): void {
+  private sendAndBuffer(
+    request: Parameters<Upstream['send']>[0],
+    server: BackendServer,
+  ): void {
     let status = 0;
     let head: string[] = [];
     const chunks: Buffer[] = [];
@@ -156,13 +158,16 @@
       onHead: (code, headers) => {
         status = code;
         head = [...headers];
-        const {wire, limits, nowMs} = this.options;
+        const {wire, limits, holds, nowMs} = this.options;
         const metadata = wire.parseResponse(code, head);
         limits.observe(request.address, metadata.requestLimitPerS, nowMs());
-        const isMismatched =
-          metadata.request !== '' && metadata.request !== this.exchange.request;
-        if (isMismatched)
-          this.abortAttempt('response carries the id of another request');
+        if (!this.exchange.isAnsweredBy(metadata))
+          return this.abortAttempt(
+            'response carries the id of another request',
+          );
+        holds.observe([server], metadata, nowMs());
+        if (!metadata.notRun)
+          holds.recordAcceptance(server, this.sentAtMs, nowMs());
       },
       onData: chunk => {
         sizeBytes += chunk.length;
@@ -250,7 +255,7 @@
 
   /** Starts another attempt; returns false if no untried server is left. */
   private retry(outcome: AttemptOutcome, nowMs: number): boolean {
-    const next = this.selectServer(nowMs);
+    const next = this.servers.select(nowMs);
     if (!next) return false;
     const {budget, metrics, logger} = this.options;
     if (outcome.kind !== 'not_sent') budget.tryAcquire(this.service, nowMs);
@@ -298,17 +303,8 @@
 
   /** Ends a call for which there is no server, or none with a request left. */
   private refuseWithoutServer(nowMs: number): void {
-    const {fleet, limits} = this.options;
-    const untried = fleet
-      .usable(this.service)
-      .filter(({address}) => !this.triedServers.has(address));
-    if (untried.length === 0)
-      return this.refuseNotRun('no untried server is available');
-    const retryAfterMs = Math.min(
-      ...untried.map(({address}) => limits.retryAfterMs(address, nowMs)),
-    );
-    const detail = 'all servers have reached the limits that they name';
-    this.refuseNotRun(detail, 'server_limit_reached', retryAfterMs);
+    const {detail, reason, retryAfterMs} = this.servers.explainNone(nowMs);
+    this.refuseNotRun(detail, reason, retryAfterMs);
   }
 
   /** Ends the call with a refusal if no attempt can have run. */
@@ -321,10 +317,11 @@
     if (this.lastResponse) return this.deliver(this.lastResponse);
     if (this.mayHaveRun) return this.failUnknown({kind: 'broken'});
     this.isFinished = true;
-    const refusal = refuse(reason, 'call', {
+    const heldForMs = this.servers.heldForMs(this.options.nowMs());
+    const refusal = refuse(heldForMs > 0 ? 'server_backoff' : reason, 'call', {
       detail: cause,
       peer: this.server?.address,
-      retryAfterMs,
+      retryAfterMs: Math.max(retryAfterMs, Math.ceil(heldForMs)),
     });
     this.options.refusals.refuse(this.exchange, refusal);
   }
--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -8,6 +8,7 @@
 import type {ServerControl, ServerReport} from '../adapter/platform_adapter.js';
 import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {ServerHolds} from '../limits/server_holds.js';
 import {formatPath, type ServerPath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {EventIntervalMonitor} from './event_interval_monitor.js';
@@ -15,6 +16,7 @@
 export interface PathFailureDetectorOptions {
   readonly control: ServerControl;
   readonly fleet: FleetView;
+  readonly holds: ServerHolds;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Whether this process itself was recently paused. */
@@ -94,7 +96,9 @@
     if (now - lastMs < MIN_SLOW_PATH_QUERY_INTERVAL_MS) return;
     this.lastSlowPathQueryAtMs.set(first, now);
     this.options.logger.info('path is slow', {path: formatPath(path)});
-    for (const {server} of path) void this.fetchReport(server.address);
+    for (const {server} of path) {
+      if (!this.isOnHold(server.address)) void this.fetchReport(server.address);
+    }
   }
 
   /** Whether a stream whose path begins at this server had an event lately. */
@@ -171,16 +175,30 @@
     }
   }
 
-  /** Clears the marks of servers that have recovered or are gone. */
+  /**
+   * Clears the marks of servers that have recovered or are gone. Suspected and
+   * refusing ones are queried during a hold too, since other entries do not use
+   * them for as long as this one reports the mark.
+   */
   async checkMarkedServers(): Promise<void> {
     const {fleet} = this.options;
     await Promise.all([
       ...fleet.ownSuspicions().map(address => this.probeSuspected(address)),
       ...fleet.ownRefusing().map(address => this.checkHealth(address)),
-      ...fleet.ownSlowServers().map(([address]) => this.fetchReport(address)),
+      ...fleet
+        .ownSlowServers()
+        .filter(([address]) => !this.isOnHold(address))
+        .map(([address]) => this.fetchReport(address)),
     ]);
   }
 
+  /** Whether the server wants nothing from this entry that can be left out. */
+  private isOnHold(address: ServerAddress): boolean {
+    const {fleet, holds, nowMs} = this.options;
+    const server = fleet.findByAddress(address);
+    return server !== undefined && !holds.maySend(server, nowMs());
+  }
+
   /**
    * Probes all servers of a path whose streams stalled together. A server that
    * refuses connections is suspected at once, one that does not respond only
--- a/packages/forwarding/src/core/relay/replacement_paths.ts
+++ b/packages/forwarding/src/core/relay/replacement_paths.ts
@@ -3,6 +3,7 @@
 import type {ModelAdmission} from '../admission/model_admission.js';
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {ServerHolds} from '../limits/server_holds.js';
 import {toChain} from '../paths/find_chains.js';
 import {findPath} from '../paths/find_path.js';
 import type {ServerPath} from '../paths/server_path.js';
@@ -11,6 +12,7 @@
 export interface ReplacementPathsOptions {
   readonly fleet: FleetView;
   readonly loads: ChainLoads;
+  readonly holds: ServerHolds;
   readonly nowMs: () => number;
 }
 
@@ -42,24 +44,28 @@
   /**
    * Finds a path with the same first stage and without suspected servers. It
    * stays within the availability zones of the current path, since its new
-   * stages process all tokens so far again. Returns undefined if there is none,
-   * or if it is overcommitted while another chain has free capacity.
+   * stages process all tokens so far again. Servers on hold are no new stages.
+   * Returns undefined if there is none, or if it is overcommitted while another
+   * chain has free capacity.
    */
   find(current: ServerPath): ServerPath | undefined {
-    const {fleet, loads, nowMs} = this.options;
+    const {fleet, loads, holds, nowMs} = this.options;
     const [first] = current;
+    const now = nowMs();
+    const onPath = new Set(current.map(({server}) => server.address));
     const zones = new Set(current.map(({server}) => server.availabilityZone));
     const path = findPath({
       model: this.model,
       servers: fleet
         .usable(first.server.service)
-        .filter(({availabilityZone}) => zones.has(availabilityZone)),
+        .filter(({availabilityZone}) => zones.has(availabilityZone))
+        .filter(s => onPath.has(s.address) || holds.maySend(s, now)),
       current,
       firstStage: first,
     });
     if (!path) return undefined;
     const chain = toChain(this.model, path);
-    const isOvercommitted = loads.usedFraction(chain, nowMs()) > 1;
+    const isOvercommitted = loads.usedFraction(chain, now) > 1;
     const hasOtherChain = this.admission.hasFreeTokensElsewhere(
       this.costTokens,
       first.server.address,
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -30,6 +30,7 @@
 import type {ServerChain} from '../paths/find_chains.js';
 import {formatPath, type ServerPath} from '../paths/server_path.js';
 import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
+import type {ServerHolds} from '../limits/server_holds.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec} from '../routing/routing_table.js';
@@ -57,6 +58,7 @@
   readonly loads: ChainLoads;
   readonly budget: SharedRetryBudget;
   readonly limits: SharedServerLimits;
+  readonly holds: ServerHolds;
   readonly quarantine: PromptQuarantine;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
@@ -219,6 +221,7 @@
     }
     if (
       nowMs >= this.migrateFromMs &&
+      this.options.holds.maySend(this.path[0].server, nowMs) &&
       this.replacements.impairedServers(this.path).length > 0
     ) {
       // Once per attempt, at a time that differs between streams.
@@ -281,6 +284,7 @@
     );
     const {address} = path[0].server;
     options.limits.recordSend(address, now);
+    for (const {server} of path) options.holds.recordSend(server, now);
     this.upstream = options.upstream.send(
       {
         address,
@@ -290,17 +294,22 @@
         body: accepted.body,
         isSingleUse: false,
       },
-      this.createHandlers(address),
+      this.createHandlers(path),
     );
   }
 
-  private createHandlers(first: ServerAddress): UpstreamHandlers {
-    const {wire, limits, nowMs} = this.options;
+  private createHandlers(path: ServerPath): UpstreamHandlers {
+    const {wire, limits, holds, nowMs} = this.options;
+    const servers = path.map(({server}) => server);
     return createStreamHandlers({
       wire,
       request: this.exchange.request,
-      onMetadata: ({requestLimitPerS}) =>
-        limits.observe(first, requestLimitPerS, nowMs()),
+      onMetadata: metadata => {
+        const {requestLimitPerS} = metadata;
+        limits.observe(servers[0].address, requestLimitPerS, nowMs());
+        if (this.exchange.isAnsweredBy(metadata))
+          holds.observe(servers, metadata, nowMs());
+      },
       onHead: headers => this.forwardHead(headers),
       onData: chunk => this.forwardEvents(chunk),
       onEnd: isLengthKnown => {
@@ -319,7 +328,10 @@
     this.mayHaveRun = true;
     const first = this.path[0].server.address;
     this.mayHaveRunOn.add(first);
-    this.options.loads.recordAcceptance(first);
+    const {loads, holds, nowMs} = this.options;
+    loads.recordAcceptance(first);
+    for (const {server} of this.path)
+      holds.recordAcceptance(server, this.sentAtMs, nowMs());
     if (this.isHeadSent || this.isFinished) return;
     this.isHeadSent = true;
     writeHead(
@@ -406,12 +418,15 @@
    */
   private handleErrorResponse({status, headers, body}: ErrorResponse): void {
     const {wire, failureDetector} = this.options;
-    const {notRun, faultyAddress} = wire.parseResponse(status, headers);
+    const {notRun, faultyAddress, retryAfterMs} = wire.parseResponse(
+      status,
+      headers,
+    );
     const first = this.path[0].server.address;
     if (notRun) {
       const faulty = faultyAddress ?? first;
       // It may have failed, be draining or reloading, or have no free KV cache.
-      failureDetector.checkAfterRefusal(faulty);
+      if (!retryAfterMs) failureDetector.checkAfterRefusal(faulty);
       const {loads, nowMs} = this.options;
       loads.recordRefusal(first, this.sentAtMs, nowMs());
       this.promptGuard.endRun();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -28,6 +28,7 @@
 export * from './core/relay/path_failure_detector.js';
 export * from './core/relay/event_interval_monitor.js';
 export * from './core/relay/upstream.js';
+export * from './core/limits/server_holds.js';
 export * from './core/limits/shared_server_limits.js';
 export * from './core/peers/entry_mesh.js';
 export * from './core/quarantine/blame_parts.js';
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -6,6 +6,7 @@
   FleetView,
   ModelAdmission,
   PeerQueues,
+  ServerHolds,
   type ServerChain,
   type WaitingRequest,
 } from '@azurecrank/forwarding';
@@ -16,8 +17,10 @@
   nowMs = 0;
   readonly admitted: string[] = [];
   readonly refused: string[] = [];
+  readonly reasons: string[] = [];
   readonly retriesAtMs: number[] = [];
-  readonly loads = new ChainLoads();
+  readonly holds = new ServerHolds(() => {});
+  readonly loads = new ChainLoads(undefined, this.holds);
   readonly fleet = new FleetView();
   readonly admission = new ModelAdmission({
     service: SERVICE,
@@ -47,6 +50,16 @@
     this.loads.setPeerUsage('peer', Object.fromEntries(used), this.nowMs);
   }
 
+  /** Makes the last server of every chain ask for a pause. */
+  holdAll(holdMs: number): void {
+    for (const {path} of this.chains()) {
+      const servers = path.map(({server}) => server);
+      const faultyAddress = servers.at(-1)?.address;
+      const hold = {retryAfterMs: holdMs, faultyAddress};
+      this.holds.observe(servers, hold, this.nowMs);
+    }
+  }
+
   /** Frees tokens for one request and admits it. */
   admitOne(): void {
     const [{path, capacityTokens}] = this.chains();
@@ -74,7 +87,8 @@
       firstTokenDeadlineAtMs: this.nowMs + 400,
       enqueuedAtMs: this.nowMs,
       admit: () => void this.admitted.push(name),
-      refuse: (_, retryAfterMs) => {
+      refuse: (reason, retryAfterMs) => {
+        this.reasons.push(reason);
         this.refused.push(name);
         this.retriesAtMs.push(this.nowMs + retryAfterMs);
       },
@@ -199,4 +213,43 @@
     for (let i = 0; i < 60; i++) admission.enqueue(`r${i}`, 'urgent');
     expect(Object.keys(admission.loads.ownUsedTokens()).length).toEqual(3);
   });
+
+  describe('while a server of every chain wants no requests', () => {
+    // Guards against requests that wait in vain for the end of a back-off.
+    it('refuses at once those that it cannot serve in time', () => {
+      const admission = new AdmissionHarness();
+      admission.setUsedFraction(1);
+      admission.enqueue('queued', 'urgent');
+      admission.holdAll(2500);
+      admission.admission.processQueue();
+      admission.enqueue('new', 'urgent');
+      expect(admission.refused).toEqual(['queued', 'new']);
+      expect(admission.reasons).toEqual(['server_backoff', 'server_backoff']);
+      for (const atMs of admission.retriesAtMs)
+        expect(atMs).toBeGreaterThanOrEqual(2500);
+    });
+
+    it('lets those wait that it can serve in time', () => {
+      const admission = new AdmissionHarness();
+      admission.holdAll(300);
+      for (admission.nowMs = 10; admission.nowMs < 300; admission.nowMs += 10) {
+        admission.enqueue(`r${admission.nowMs}`, 'urgent');
+        admission.admission.processQueue();
+      }
+      expect(admission.refused).toEqual([]);
+      expect(admission.admitted).toEqual([]);
+      admission.admission.processQueue();
+      expect(admission.admitted.length).toBeGreaterThan(0);
+    });
+
+    // Guards against peers that leave free tokens to requests of this entry.
+    it('reports no waiting requests to other entries', () => {
+      const admission = new AdmissionHarness();
+      admission.holdAll(300);
+      admission.enqueue('a', 'urgent');
+      expect(admission.admission.size).toEqual(1);
+      const tokens = admission.admission.queues().ranks.map(r => r.tokens);
+      expect(tokens.every(count => count === 0)).toEqual(true);
+    });
+  });
 });
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -17,6 +17,7 @@
   PathFailureDetector,
   PeerQueues,
   PromptQuarantine,
+  ServerHolds,
   SharedServerLimits,
   SharedRetryBudget,
   ServerControl,
@@ -86,7 +87,7 @@
   isAborted: boolean;
 }
 
-class FakeUpstream extends Upstream {
+export class FakeUpstream extends Upstream {
   readonly sent: SentRequest[] = [];
 
   override send(
@@ -108,7 +109,7 @@
 }
 
 /** Passes headers through; the header `not-run` marks a refused request. */
-class FakeWire extends WireCodec {
+export class FakeWire extends WireCodec {
   override parseCallerHeaders(): CallerMetadata {
     return CALLER_FACTS;
   }
@@ -118,11 +119,13 @@
   }
 
   override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
+    const idIndex = headers.indexOf('id');
     return {
-      request: REQUEST,
+      request: idIndex < 0 ? REQUEST : headers[idIndex + 1],
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
       requestLimitPerS: undefined,
+      retryAfterMs: valueOf(headers, 'retry-after-ms'),
     };
   }
 
@@ -131,8 +134,15 @@
   }
 }
 
+/** Value of a header as a number. */
+function valueOf(headers: RawHeaders, name: string): number | undefined {
+  const index = headers.indexOf(name);
+  return index < 0 ? undefined : Number(headers[index + 1]);
+}
+
 export class FakeControl extends ServerControl {
   readonly repaths: ServerPath[] = [];
+  readonly healthChecks: ServerAddress[] = [];
   resolveRepath: (outcome: OrderOutcome) => void = () => {};
   unresponsive = new Set<ServerAddress>();
   /** Servers whose next response is lost. */
@@ -162,7 +172,10 @@
     };
   }
 
-  override async checkHealth(): Promise<HealthCheckResult> {
+  override async checkHealth(
+    address: ServerAddress,
+  ): Promise<HealthCheckResult> {
+    this.healthChecks.push(address);
     return 'healthy';
   }
 
@@ -254,7 +267,8 @@
     waitingPeers: () => 0,
     onChange: () => {},
   });
-  readonly loads = new ChainLoads(this.limits);
+  readonly holds = new ServerHolds(() => {});
+  readonly loads = new ChainLoads(this.limits, this.holds);
   readonly upstream = new FakeUpstream();
   readonly budget = new SharedRetryBudget(-Infinity, {
     ratio: 0.2,
@@ -293,6 +307,7 @@
     this.failureDetector = new PathFailureDetector({
       control: this.control,
       fleet: this.fleet,
+      holds: this.holds,
       logger,
       nowMs,
       wasPaused: () => false,
@@ -343,6 +358,7 @@
         budget: this.budget,
         quarantine: this.quarantine,
         limits: this.limits,
+        holds: this.holds,
         refusals: new RefusalSender(metrics, logger),
         metrics,
         logger,
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -21,6 +21,7 @@
   PathFailureDetector,
   PeerQueues,
   PromptQuarantine,
+  ServerHolds,
   SharedServerLimits,
   ServerControl,
   SharedRetryBudget,
@@ -79,6 +80,7 @@
 
 const FRAMING = ['transfer-encoding', 'chunked'];
 const LIMIT_HEADER = 'limit';
+const RETRY_AFTER_HEADER = 'retry-after-ms';
 
 /** Part of the prompt that ends servers. */
 export const CRASHING_PART = 'crash' as PromptPartId;
@@ -113,6 +115,8 @@
 export interface Arrival {
   readonly atMs: number;
   readonly entry: string;
+  /** Pause that the server asked for with a refusal. */
+  readonly pauseMs: number | undefined;
 }
 
 interface ServerState {
@@ -122,6 +126,10 @@
   /** Headers of all responses. */
   headers: string[];
   readonly arrivals: Arrival[];
+  /** Time until which the server refuses requests, and asks for a pause. */
+  refusesUntilMs: number;
+  /** Entries that it refuses; all if undefined. */
+  refusedEntry: string | undefined;
 }
 
 export class StreamFleet {
@@ -150,6 +158,8 @@
         runs: new Set(),
         headers: [...FRAMING],
         arrivals: [],
+        refusesUntilMs: 0,
+        refusedEntry: undefined,
       });
     }
     this.entries = Array.from(
@@ -199,6 +209,14 @@
     }
   }
 
+  /** Makes a server refuse an entry, or all, and ask for a pause so long. */
+  askForPause(address: ServerAddress, pauseMs: number, entry?: string): void {
+    const state = this.servers.get(address);
+    if (!state) return;
+    state.refusesUntilMs = this.nowMs + pauseMs;
+    state.refusedEntry = entry;
+  }
+
   firstServers(): ServerAddress[] {
     return this.entries[0].admission
       .currentChains()
@@ -284,7 +302,14 @@
       return run.handlers.onFailure({cause, mayHaveRun: false});
     }
     run.request.arrivals++;
-    state.arrivals.push({atMs: this.nowMs, entry: run.entry});
+    const pauseMs = this.pauseFor(state, run.entry);
+    state.arrivals.push({atMs: this.nowMs, entry: run.entry, pauseMs});
+    if (pauseMs !== undefined) {
+      run.isOver = true;
+      const headers = ['not-run', '', RETRY_AFTER_HEADER, `${pauseMs}`];
+      run.handlers.onHead(503, headers);
+      return run.handlers.onEnd();
+    }
     const crashes = run.request.parts.includes(CRASHING_PART);
     if (crashes) this.crashingArrivalAtMs.push(this.nowMs);
     state.runs.add(run);
@@ -301,6 +326,13 @@
     });
   }
 
+  private pauseFor(state: ServerState, entry: string): number | undefined {
+    const {refusesUntilMs, refusedEntry} = state;
+    const isRefused = refusedEntry === undefined || refusedEntry === entry;
+    if (!isRefused || this.nowMs >= refusesUntilMs) return undefined;
+    return refusesUntilMs - this.nowMs;
+  }
+
   private sendEvent(state: ServerState, run: Run, number: number): void {
     if (run.isOver) return;
     if (run.request.arrivals === 1) run.request.hasBegunAtOnce = true;
@@ -403,6 +435,9 @@
       requestLimitPerS: headers.includes(LIMIT_HEADER)
         ? Number(limit)
         : undefined,
+      retryAfterMs: headers.includes(RETRY_AFTER_HEADER)
+        ? Number(headers[headers.indexOf(RETRY_AFTER_HEADER) + 1])
+        : undefined,
     };
   }
 
@@ -470,6 +505,7 @@
 
 class Entry {
   private readonly limits: SharedServerLimits;
+  readonly holds = new ServerHolds(() => {});
   readonly loads: ChainLoads;
   readonly peerQueues = new PeerQueues();
   readonly fleet = new FleetView();
@@ -503,7 +539,7 @@
         this.peerQueues.waitingPeers(service, atMs),
       onChange: () => this.reportSoon(),
     });
-    this.loads = new ChainLoads(this.limits);
+    this.loads = new ChainLoads(this.limits, this.holds);
     this.upstream = new SimulatedUpstream(simulation, node);
     this.control = new SimulatedControl(simulation);
     this.admission = new ModelAdmission({
@@ -519,6 +555,7 @@
     this.failureDetector = new PathFailureDetector({
       control: this.control,
       fleet: this.fleet,
+      holds: this.holds,
       logger: this.logger,
       nowMs,
       wasPaused: () => false,
@@ -558,6 +595,7 @@
       budget: this.budget,
       quarantine: this.quarantine,
       limits: this.limits,
+      holds: this.holds,
       refusals: new RefusalSender(this.metrics, this.logger),
       metrics: this.metrics,
       logger: this.logger,
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -15,6 +15,51 @@
     expect(harness.upstream.sent.length).toEqual(2);
   });
 
+  describe('when a server refuses it and asks for a pause', () => {
+    function refuse(harness: RelayHarness): void {
+      const {handlers} = harness.lastSent;
+      handlers.onHead(503, ['not-run', '', 'retry-after-ms', '3000']);
+      handlers.onEnd();
+    }
+
+    it('continues elsewhere without a health check of the server', async () => {
+      const harness = new RelayHarness();
+      const {address} = harness.lastSent.request;
+      refuse(harness);
+      await flushPromises();
+      expect(harness.upstream.sent.length).toEqual(2);
+      expect(harness.lastSent.request.address).not.toEqual(address);
+      expect(harness.control.healthChecks).toEqual([]);
+    });
+
+    // Guards against started streams that come back before the end of the pause.
+    it('sends a started stream to no server a second time', async () => {
+      const harness = new RelayHarness();
+      harness.receiveHead();
+      harness.receiveEvents(1);
+      harness.lastSent.handlers.onFailure({cause: 'reset', mayHaveRun: true});
+      const chainCount = harness.admission.currentChains().length;
+      const {sent} = harness.upstream;
+      for (let next = 1, i = 0; i < 30; i++) {
+        for (; next < sent.length; next++) refuse(harness);
+        await harness.advance(50);
+      }
+      const addresses = sent.slice(1).map(({request}) => request.address);
+      expect(addresses.length).toBeLessThanOrEqual(chainCount);
+      expect(new Set(addresses).size).toEqual(addresses.length);
+    });
+
+    it('takes no refusal of another request for its own', () => {
+      const harness = new RelayHarness();
+      const {handlers, request} = harness.lastSent;
+      const server = harness.fleet.findByAddress(request.address);
+      if (!server) throw new Error('server is unknown');
+      const headers = ['not-run', '', 'retry-after-ms', '3000', 'id', 'other'];
+      handlers.onHead(503, headers);
+      expect(harness.holds.maySend(server, harness.nowMs)).toEqual(true);
+    });
+  });
+
   // Guards against retries that a refusing chain can only refuse (incident 6).
   it('sends a started stream less and less often to chains that refuse it', async () => {
     const harness = new RelayHarness();
