Test that no server on hold becomes a new stage of a stream

A running stream whose stage is lost gets a path with other servers of its zone. The test adds a spare server for the lost layers: the path takes it, but not while it is on hold. Without the filter in ReplacementPaths the test fails, as the path takes the spare server.

--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import type {ServerId} from '@azurecrank/core';
 import {expect} from 'earl';
 import {RelayHarness, flushPromises} from './relay_harness.js';
 
@@ -98,6 +99,34 @@
       expect(harness.upstream.sent.length).toEqual(1);
     });
 
+    // Guards against a new stage on a server that asked for a pause.
+    it('takes no server on hold as a new stage', async () => {
+      const spareAddress = '10.0.1.1:80';
+      const addressesOfNewPath = async (isSpareHeld: boolean) => {
+        const harness = new RelayHarness();
+        harness.receiveHead();
+        harness.receiveEvents(1, 2);
+        const lost = harness.fleet.findByAddress(harness.pathAddresses()[1]);
+        if (!lost) throw new Error('server is unknown');
+        const spare = {
+          ...lost,
+          server: 'spare' as ServerId,
+          address: spareAddress,
+        };
+        harness.fleet.put(spare, harness.nowMs);
+        const retryAfterMs = isSpareHeld ? 3000 : undefined;
+        const hold = {retryAfterMs, faultyAddress: undefined};
+        harness.holds.observe([spare], hold, harness.nowMs);
+        harness.fleet.suspect(lost.address);
+        harness.relay.tick((harness.nowMs += 50));
+        await flushPromises();
+        const path = harness.control.repaths.at(0) ?? [];
+        return path.map(({server}) => server.address);
+      };
+      expect(await addressesOfNewPath(false)).toInclude(spareAddress);
+      expect(await addressesOfNewPath(true)).not.toInclude(spareAddress);
+    });
+
     it('continues elsewhere if the first server is lost during the migration', async () => {
       const harness = new RelayHarness();
       const lost = harness.pathAddresses()[3];
