Merge the holds of servers that refuse with a Retry-After

A hold applies to the server that answered too, not only to the one that the refusal names: it is the one that asked for the pause, and it would get requests again as soon as a chain is derived without the named server.

--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -33,6 +33,7 @@
   PathFailureDetector,
 } from '../relay/path_failure_detector.js';
 import {HttpUpstream} from '../relay/upstream.js';
+import {ServerHolds} from '../limits/server_holds.js';
 import {SharedServerLimits} from '../limits/shared_server_limits.js';
 import {
   PromptQuarantine,
@@ -82,6 +83,7 @@
   private readonly fleet = new FleetView();
   private readonly leavingServers: LeavingServers;
   private readonly limits: SharedServerLimits;
+  private readonly holds: ServerHolds;
   private readonly loads: ChainLoads;
   private readonly peerQueues = new PeerQueues();
   private readonly callBalancer = new CallLoadBalancer();
@@ -125,7 +127,11 @@
         this.broadcastSoon();
       },
     });
-    const loads = new ChainLoads(this.limits);
+    const holds = new ServerHolds((peer, holdMs) =>
+      logger.info('server wants no requests for now', {peer, holdMs}),
+    );
+    this.holds = holds;
+    const loads = new ChainLoads(this.limits, holds);
     this.loads = loads;
     const nowMs = () => performance.now();
     this.tableHolder = new TableHolder(adapter.store, logger, table =>
@@ -188,6 +194,7 @@
       leavingServers,
       budget: this.retryBudget,
       limits: this.limits,
+      holds,
       refusals,
       metrics,
       logger,
@@ -197,6 +204,7 @@
       control: adapter.control,
       fleet,
       leavingServers,
+      holds,
       logger,
       nowMs,
       wasPaused: () => this.pauses.wasPausedWithin(PAUSE_GRACE_MS),
@@ -416,6 +424,7 @@
     const addresses = new Set(servers.map(({address}) => address));
     this.callBalancer.retainServers(addresses);
     this.limits.retainServers(addresses);
+    this.holds.retainServers(addresses);
     this.mesh.broadcastShares();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
--- a/packages/forwarding/test/leaving_servers_test.ts
+++ b/packages/forwarding/test/leaving_servers_test.ts
@@ -38,7 +38,7 @@
   exchange.accepted = accepted;
   const logger = new Logger('test', 'silent');
   const metrics = new Metrics();
-  const {fleet, leavingServers, upstream, budget, limits} = harness;
+  const {fleet, leavingServers, upstream, budget, limits, holds} = harness;
   new CallRelay(exchange, accepted, SERVICE, {
     availabilityZone: 'river',
     upstream,
@@ -48,6 +48,7 @@
     balancer: new CallLoadBalancer(),
     budget,
     limits,
+    holds,
     refusals: new RefusalSender(metrics, logger),
     metrics,
     logger,
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -18,6 +18,7 @@
   PathFailureDetector,
   PeerQueues,
   PromptQuarantine,
+  ServerHolds,
   SharedServerLimits,
   SharedRetryBudget,
   ServerControl,
@@ -87,7 +88,7 @@
   isAborted: boolean;
 }
 
-class FakeUpstream extends Upstream {
+export class FakeUpstream extends Upstream {
   readonly sent: SentRequest[] = [];
 
   override send(
@@ -119,12 +120,14 @@
   }
 
   override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
+    const idIndex = headers.indexOf('id');
     return {
-      request: REQUEST,
+      request: idIndex < 0 ? REQUEST : headers[idIndex + 1],
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
       isServerLeaving: headers.includes('leaving'),
       requestLimitPerS: undefined,
+      retryAfterMs: valueOf(headers, 'retry-after-ms'),
     };
   }
 
@@ -133,8 +136,15 @@
   }
 }
 
+/** Value of a header as a number. */
+function valueOf(headers: RawHeaders, name: string): number | undefined {
+  const index = headers.indexOf(name);
+  return index < 0 ? undefined : Number(headers[index + 1]);
+}
+
 export class FakeControl extends ServerControl {
   readonly repaths: ServerPath[] = [];
+  readonly healthChecks: ServerAddress[] = [];
   resolveRepath: (outcome: OrderOutcome) => void = () => {};
   unresponsive = new Set<ServerAddress>();
   /** Servers whose next response is lost. */
@@ -167,7 +177,10 @@
     };
   }
 
-  override async checkHealth(): Promise<HealthCheckResult> {
+  override async checkHealth(
+    address: ServerAddress,
+  ): Promise<HealthCheckResult> {
+    this.healthChecks.push(address);
     return 'healthy';
   }
 
@@ -259,7 +272,8 @@
     waitingPeers: () => 0,
     onChange: () => {},
   });
-  readonly loads = new ChainLoads(this.limits);
+  readonly holds = new ServerHolds(() => {});
+  readonly loads = new ChainLoads(this.limits, this.holds);
   readonly upstream = new FakeUpstream();
   readonly budget = new SharedRetryBudget(-Infinity, {
     ratio: 0.2,
@@ -304,6 +318,7 @@
       control: this.control,
       fleet,
       leavingServers: this.leavingServers,
+      holds: this.holds,
       logger,
       nowMs,
       wasPaused: () => false,
@@ -367,6 +382,7 @@
         budget: this.budget,
         quarantine: this.quarantine,
         limits: this.limits,
+        holds: this.holds,
         refusals: new RefusalSender(metrics, logger),
         metrics,
         logger,
