Trust only responses that carry the id of their request

A server that wrote an earlier refusal once more on a kept connection, without a request id, was believed: the caller was told "not run" (503) for a call that the server had, and a stream that may run once was sent to a second server. A stale 200 without an id was delivered as the answer. With the id of the earlier request both were already discarded.

A response without an id on a connection that may have had an earlier request now promises nothing: the attempt counts as perhaps run. On a connection of its own (calls that must not be repeated) nothing is earlier, and a response without an id still counts. A repeated refusal of the same request bears the right id, so a stream that goes to a server a second time gets a connection of its own.

Discarded responses are counted in azurecrank_invalid_responses_total. The simulated servers of stream_fleet.ts now echo the request id, as servers do.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -38,6 +38,13 @@
     label: 'reason',
     values: RETRY_REASONS,
   },
+  azurecrank_invalid_responses_total: {
+    kind: 'counter',
+    help: 'Responses of servers that cannot be those to their requests',
+    owners: ENTRY,
+    label: 'reason',
+    values: ['other_request', 'no_request_id'],
+  },
   azurecrank_requests_total: {
     kind: 'counter',
     help: 'Requests of callers that were accepted for routing, by kind',
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -21,6 +21,11 @@
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {CallLoadBalancer} from './call_load_balancer.js';
+import {
+  INVALID_RESPONSE_CAUSES,
+  checkResponse,
+  type InvalidResponse,
+} from './check_response.js';
 import {
   decideCall,
   type AttemptOutcome,
@@ -159,10 +164,10 @@
         const {wire, limits, nowMs} = this.options;
         const metadata = wire.parseResponse(code, head);
         limits.observe(request.address, metadata.requestLimitPerS, nowMs());
-        const isMismatched =
-          metadata.request !== '' && metadata.request !== this.exchange.request;
-        if (isMismatched)
-          this.abortAttempt('response carries the id of another request');
+        const {isSingleUse} = request;
+        const sent = this.exchange.request;
+        const invalid = checkResponse(metadata, sent, !isSingleUse);
+        if (invalid) this.discardResponse(invalid);
       },
       onData: chunk => {
         sizeBytes += chunk.length;
@@ -180,6 +185,13 @@
     this.upstream = upstream;
   }
 
+  private discardResponse(reason: InvalidResponse): void {
+    this.options.metrics.increment('azurecrank_invalid_responses_total', {
+      reason,
+    });
+    this.abortAttempt(INVALID_RESPONSE_CAUSES[reason]);
+  }
+
   private abortAttempt(cause: string): void {
     this.upstream?.abort();
     this.failAttempt('broken', cause);
--- /dev/null
+++ b/packages/forwarding/src/core/relay/check_response.ts
@@ -0,0 +1,28 @@
+/** Checks whether a response can be that to the request it arrived for. Pure. */
+import type {ResponseMetadata} from '../adapter/platform_adapter.js';
+
+/** Why a response is discarded; also the labels of its counter. */
+export type InvalidResponse = 'other_request' | 'no_request_id';
+
+export const INVALID_RESPONSE_CAUSES: Readonly<
+  Record<InvalidResponse, string>
+> = {
+  other_request: 'response carries the id of another request',
+  no_request_id: 'response on a reused connection carries no request id',
+};
+
+/**
+ * Returns why the response cannot be trusted; undefined if it can. Servers may
+ * write an earlier response once more on a connection that is reused, and only
+ * the request id tells the two apart. On a new connection nothing is earlier.
+ * @param mayBeReused whether the connection may have had an earlier request
+ */
+export function checkResponse(
+  {request}: Pick<ResponseMetadata, 'request'>,
+  sentRequest: string,
+  mayBeReused: boolean,
+): InvalidResponse | undefined {
+  if (request === sentRequest) return undefined;
+  if (request !== '') return 'other_request';
+  return mayBeReused ? 'no_request_id' : undefined;
+}
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -123,6 +123,8 @@
   private readonly promptGuard: PromptGuard;
   private readonly replacements: ReplacementPaths;
   private readonly failedFirstServers = new Set<ServerAddress>();
+  /** First servers to which the request has been sent. */
+  private readonly sentTo = new Set<ServerAddress>();
   /** First servers that may have run the request. */
   private readonly mayHaveRunOn = new Set<ServerAddress>();
 
@@ -281,6 +283,9 @@
     );
     const {address} = path[0].server;
     options.limits.recordSend(address, now);
+    // A repeated refusal of this request has the same id as its next response.
+    const isSingleUse = this.sentTo.has(address);
+    this.sentTo.add(address);
     this.upstream = options.upstream.send(
       {
         address,
@@ -288,17 +293,22 @@
         target: exchange.target,
         headers,
         body: accepted.body,
-        isSingleUse: false,
+        isSingleUse,
       },
-      this.createHandlers(address),
+      this.createHandlers(address, !isSingleUse),
     );
   }
 
-  private createHandlers(first: ServerAddress): UpstreamHandlers {
-    const {wire, limits, nowMs} = this.options;
+  private createHandlers(
+    first: ServerAddress,
+    mayBeReused: boolean,
+  ): UpstreamHandlers {
+    const {wire, limits, metrics, nowMs} = this.options;
     return createStreamHandlers({
       wire,
+      metrics,
       request: this.exchange.request,
+      mayBeReused,
       onMetadata: ({requestLimitPerS}) =>
         limits.observe(first, requestLimitPerS, nowMs()),
       onHead: headers => this.forwardHead(headers),
--- a/packages/forwarding/src/core/relay/stream_response.ts
+++ b/packages/forwarding/src/core/relay/stream_response.ts
@@ -1,5 +1,7 @@
 /** Interprets the response of a server to the request for a stream. */
+import type {Metrics} from '@azurecrank/core';
 import type {ResponseMetadata, WireCodec} from '../adapter/platform_adapter.js';
+import {INVALID_RESPONSE_CAUSES, checkResponse} from './check_response.js';
 import type {UpstreamFailure, UpstreamHandlers} from './upstream.js';
 
 /** A complete response other than 200. */
@@ -11,8 +13,11 @@
 
 export interface StreamHandlerOptions {
   readonly wire: WireCodec;
+  readonly metrics: Metrics;
   /** Id of the request; a response to another one is invalid. */
   readonly request: string;
+  /** Whether the connection may have had an earlier request. */
+  readonly mayBeReused: boolean;
   onMetadata(metadata: ResponseMetadata): void;
   /** Called with the headers of a 200. */
   onHead(headers: string[]): void;
@@ -52,10 +57,13 @@
       headers = [...rawHeaders];
       const metadata = options.wire.parseResponse(code, headers);
       options.onMetadata(metadata);
-      const {request} = metadata;
-      if (request !== '' && request !== options.request) {
-        const cause = 'response carries the id of another request';
-        return options.onInvalidResponse(cause);
+      const {request, mayBeReused} = options;
+      const invalid = checkResponse(metadata, request, mayBeReused);
+      if (invalid) {
+        options.metrics.increment('azurecrank_invalid_responses_total', {
+          reason: invalid,
+        });
+        return options.onInvalidResponse(INVALID_RESPONSE_CAUSES[invalid]);
       }
       if (code === HTTP_OK) options.onHead(headers);
     },
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,6 +22,7 @@
 export * from './core/process/forwarding_process.js';
 export * from './core/process/forwarding_settings.js';
 export * from './core/relay/call_load_balancer.js';
+export * from './core/relay/check_response.js';
 export * from './core/relay/decide_call.js';
 export * from './core/relay/decide_stream.js';
 export * from './core/relay/event_splitter.js';
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -131,6 +131,38 @@
   }
 }
 
+/** Reads the id of the request and its refusal from the response's headers. */
+export class HeaderWire extends WireCodec {
+  override parseCallerHeaders(): CallerMetadata {
+    return CALLER_FACTS;
+  }
+
+  override toServerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+
+  override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
+    const at = headers.indexOf('request-id');
+    return {
+      request: at < 0 ? '' : headers[at + 1],
+      notRun: headers.includes('not-run'),
+      faultyAddress: undefined,
+      requestLimitPerS: undefined,
+    };
+  }
+
+  override toCallerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+}
+
+/** What connects the relay of the harness with servers. */
+export interface Transport {
+  readonly upstream: Upstream;
+  readonly wire: WireCodec;
+  readonly request: string;
+}
+
 export class FakeControl extends ServerControl {
   readonly repaths: ServerPath[] = [];
   resolveRepath: (outcome: OrderOutcome) => void = () => {};
@@ -186,7 +218,7 @@
 
 const REQUEST = 'r1' as RequestId;
 
-const CALLER_FACTS: CallerMetadata = {
+export const CALLER_FACTS: CallerMetadata = {
   request: REQUEST,
   deadlineMs: 20_000,
   key: undefined,
@@ -275,6 +307,7 @@
     route: Partial<Route> = {},
     promptParts: readonly string[] = [],
     readonly quarantine = new PromptQuarantine(() => {}),
+    transport: Partial<Transport> = {},
   ) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
     const logger = new Logger('test', 'silent');
@@ -300,8 +333,9 @@
       hasEventSince: (_, sinceMs) => this.lastEventAtMs >= sinceMs,
       onServerLost: () => {},
     });
+    const {request = REQUEST} = transport;
     const req = {
-      rawHeaders: [],
+      rawHeaders: ['request-id', request],
       method: 'POST',
       url: '/draft/1',
       complete: true,
@@ -309,13 +343,17 @@
     const exchange = new CallerExchange(
       req as unknown as IncomingMessage,
       this.res as unknown as ServerResponse,
-      {...CALLER_FACTS, sharedPromptParts: promptParts as PromptPartId[]},
+      {
+        ...CALLER_FACTS,
+        request,
+        sharedPromptParts: promptParts as PromptPartId[],
+      },
       this.nowMs,
     );
     const accepted = acceptedRequest({...ROUTE, ...route}, this.nowMs + 20_000);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
-      request: REQUEST,
+      request: request as RequestId,
       workspace: 'w' as WorkspaceId,
       weight: 1,
       rank: 'urgent',
@@ -333,8 +371,8 @@
       MODEL,
       this.admission,
       {
-        upstream: this.upstream,
-        wire: new FakeWire(),
+        upstream: transport.upstream ?? this.upstream,
+        wire: transport.wire ?? new FakeWire(),
         control: this.control,
         fleet: this.fleet,
         failureDetector: this.failureDetector,
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -78,6 +78,7 @@
 const MAX_WAIT_MS = 425;
 
 const FRAMING = ['transfer-encoding', 'chunked'];
+const REQUEST_ID_HEADER = 'request-id';
 const LIMIT_HEADER = 'limit';
 
 /** Part of the prompt that ends servers. */
@@ -290,7 +291,8 @@
     state.runs.add(run);
     this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
       if (run.isOver) return;
-      run.handlers.onHead(200, state.headers);
+      const idHeader = [REQUEST_ID_HEADER, run.request.id];
+      run.handlers.onHead(200, [...state.headers, ...idHeader]);
       if (!crashes) return this.sendEvent(state, run, 1);
       const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
       this.after(delayMs, () => {
@@ -397,7 +399,7 @@
   override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
     const limit = headers[headers.indexOf(LIMIT_HEADER) + 1];
     return {
-      request: '',
+      request: headers[headers.indexOf(REQUEST_ID_HEADER) + 1],
       notRun: headers.includes('not-run'),
       faultyAddress: undefined,
       requestLimitPerS: headers.includes(LIMIT_HEADER)
