Keep the process alive when a paused response ends

While a caller read slowly, its exchange was paused. If the server then closed or reset a connection whose response said "Connection: close" or had no length, the HTTP client's parser failed an assertion inside the socket's event. Nothing catches it, so Node.js ends the process, with all its streams.

The exchange is now resumed before the HTTP client handles the end of the socket; no data is left at that point. A reset gets an error code after which the client fails the response, where it took ECONNRESET for an end. The empty chunk with which a resumed parser may begin is not passed on.

--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -2,6 +2,7 @@
  * Sends requests to backend servers over keep-alive or single-use connections
  * and detects responses that were cut short by a connection reset.
  */
+import type {Socket} from 'node:net';
 import {Agent, Client, buildConnector, type Dispatcher} from 'undici';
 import type {ServerAddress} from '../fleet/backend_server.js';
 
@@ -47,9 +48,9 @@
 const connectSocket = buildConnector({timeout: CONNECT_TIMEOUT_MS});
 
 /**
- * Whether the current event-loop step handles a connection reset. When a
- * connection is reset, the HTTP client reports a response without a length as
- * complete, from within the socket event that signals the reset.
+ * Whether the current event-loop step handles the end of a connection that was
+ * reset. The HTTP client reports a response without a length as complete, from
+ * within the socket event that signals the end.
  */
 let isResetting = false;
 
@@ -58,15 +59,32 @@
   process.nextTick(() => (isResetting = false));
 }
 
+/**
+ * Code of errors after which the HTTP client fails the response. It takes
+ * `ECONNRESET` for the end of a response without a length.
+ */
+const FAILED_SOCKET_CODE = 'UND_ERR_SOCKET';
+
+/** The socket from which the HTTP client reads in this event-loop step. */
+let readSocket: Socket | undefined;
+
+/** The exchange whose response arrives on a socket. */
+const exchanges = new WeakMap<Socket, UpstreamExchange>();
+
 const connect: buildConnector.connector = (options, callback) => {
   connectSocket(options, (error, socket) => {
     if (!socket) return callback(error ?? new Error('no socket'), null);
-    socket.prependListener('error', markReset);
-    // Node.js reports a reset that arrives together with data as an ordinary
-    // end. After a reset the socket has no remote address any more; after an
-    // orderly close it still has one.
+    socket.prependListener('error', (reason: NodeJS.ErrnoException) => {
+      if (reason.code === 'ECONNRESET') reason.code = FAILED_SOCKET_CODE;
+    });
+    socket.prependListener('readable', () => (readSocket = socket));
     socket.prependListener('end', () => {
+      // Node.js reports a reset that arrives together with data as an ordinary
+      // end. After a reset the socket has no remote address any more; after an
+      // orderly close it still has one.
       if (socket.remoteAddress === undefined) markReset();
+      // The HTTP client asserts that its parser is not paused at the end.
+      exchanges.get(socket)?.resume();
     });
     callback(null, socket);
   });
@@ -154,11 +172,14 @@
         },
         onResponseStart: (controller, status) => {
           if (this.isOver || status < 200) return;
+          if (readSocket) exchanges.set(readSocket, this);
           const headers = toStringHeaders(controller.rawHeaders);
           this.guard(() => handlers.onHead(status, headers));
         },
         onResponseData: (_, chunk) => {
-          if (!this.isOver) this.guard(() => handlers.onData(chunk));
+          // A parser that goes on after a pause may begin with an empty chunk.
+          if (this.isOver || chunk.length === 0) return;
+          this.guard(() => handlers.onData(chunk));
         },
         onResponseEnd: () => {
           release();
