Continue streams only with events of the same stream

When a stream had begun and broke off, any 200 of the next server was passed on as its continuation. A 200 that held the text of an error, a JSON error or the head of another response put that text into the caller's stream, if it ended with an empty line; a 200 of another media type without a body ended the stream as complete. An error after the events of a response without a length went through in the same way. Errors with another status than 200 were handled.

A continuation must now have the media type of the head that the caller got, and begin with an event that has an id. Once events have ids, one without an id may only have the fields of server-sent events. What precedes such bytes is passed on; then the response counts as broken off and the stream resumes elsewhere or is cut. A first response is passed on unchanged, whatever it holds.

A complete continuation of the right type without any event still ends the stream: it cannot be told from a stream that broke off after its last event.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -43,7 +43,13 @@
     help: 'Responses of servers that cannot be those to their requests',
     owners: ENTRY,
     label: 'reason',
-    values: ['other_request', 'no_request_id'],
+    values: [
+      'other_request',
+      'no_request_id',
+      'other_media_type',
+      'not_an_event',
+      'too_large',
+    ],
   },
   azurecrank_requests_total: {
     kind: 'counter',
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -171,8 +171,7 @@
       },
       onData: chunk => {
         sizeBytes += chunk.length;
-        if (sizeBytes > MAX_RESPONSE_BYTES)
-          this.abortAttempt('response exceeds 32 MiB');
+        if (sizeBytes > MAX_RESPONSE_BYTES) this.discardResponse('too_large');
         else chunks.push(chunk);
       },
       onEnd: () => {
@@ -189,12 +188,8 @@
     this.options.metrics.increment('azurecrank_invalid_responses_total', {
       reason,
     });
-    this.abortAttempt(INVALID_RESPONSE_CAUSES[reason]);
-  }
-
-  private abortAttempt(cause: string): void {
     this.upstream?.abort();
-    this.failAttempt('broken', cause);
+    this.failAttempt('broken', INVALID_RESPONSE_CAUSES[reason]);
   }
 
   private handleResponse(
--- a/packages/forwarding/src/core/relay/check_response.ts
+++ b/packages/forwarding/src/core/relay/check_response.ts
@@ -2,13 +2,21 @@
 import type {ResponseMetadata} from '../adapter/platform_adapter.js';
 
 /** Why a response is discarded; also the labels of its counter. */
-export type InvalidResponse = 'other_request' | 'no_request_id';
+export type InvalidResponse =
+  | 'other_request'
+  | 'no_request_id'
+  | 'other_media_type'
+  | 'not_an_event'
+  | 'too_large';
 
 export const INVALID_RESPONSE_CAUSES: Readonly<
   Record<InvalidResponse, string>
 > = {
   other_request: 'response carries the id of another request',
   no_request_id: 'response on a reused connection carries no request id',
+  other_media_type: 'response has another media type than the stream',
+  not_an_event: 'response contains bytes that are no event of the stream',
+  too_large: 'response exceeds its maximum size',
 };
 
 /**
@@ -26,3 +34,11 @@
   if (request !== '') return 'other_request';
   return mayBeReused ? 'no_request_id' : undefined;
 }
+
+/** Returns the media type without parameters; empty if it is not stated. */
+export function mediaType(headers: readonly string[]): string {
+  const at = headers.findIndex(
+    (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return at < 0 ? '' : headers[at + 1].split(';')[0].trim().toLowerCase();
+}
--- a/packages/forwarding/src/core/relay/event_splitter.ts
+++ b/packages/forwarding/src/core/relay/event_splitter.ts
@@ -13,9 +13,15 @@
   /** Complete events, byte for byte as received; may be empty. */
   readonly bytes: Buffer;
   readonly eventCount: number;
+  /** Whether bytes follow that are no event of the stream, as of an error. */
+  readonly isInvalid: boolean;
 }
 
-const NO_EVENTS: SplitEvents = {bytes: Buffer.alloc(0), eventCount: 0};
+const NO_BYTES = Buffer.alloc(0);
+
+/** Fields that an event without an id may have; a comment has an empty name. */
+const FIELD_LINE = /^(?:data|event|retry|id|):/;
+const COMMENT_LINE = /^:/;
 
 /** Thrown if an incomplete event exceeds `MAX_PARTIAL_BYTES`. */
 export class EventTooLargeError extends Error {}
@@ -23,6 +29,8 @@
 export class EventSplitter {
   private partial: Buffer | undefined;
   private lastId = -1;
+  /** Whether a resumed stream awaits its first event with an id. */
+  private awaitsId = false;
 
   /** @param afterId events with ids up to this are dropped; -1 keeps all */
   constructor(afterId = -1) {
@@ -39,9 +47,13 @@
     return this.partial !== undefined;
   }
 
-  /** Drops the incomplete event before another server continues the stream. */
-  discardPartial(): void {
+  /**
+   * Drops the incomplete event before the response of another server.
+   * @param isContinuation whether it continues what the caller has received
+   */
+  startResponse(isContinuation: boolean): void {
     this.partial = undefined;
+    this.awaitsId = isContinuation;
   }
 
   /**
@@ -52,11 +64,15 @@
     const bytes = this.partial ? Buffer.concat([this.partial, chunk]) : chunk;
     const newEvents: Buffer[] = [];
     let eventCount = 0;
+    let isInvalid = false;
     let start = 0;
     for (;;) {
       const end = findEventEnd(bytes, start);
       if (end < 0) break;
       const id = parseEventId(bytes, start, end);
+      isInvalid = id < 0 && !this.mayOmitId(bytes.subarray(start, end));
+      if (isInvalid) break;
+      if (id >= 0) this.awaitsId = false;
       // A server may repeat events that the caller already has.
       if (id < 0 || id > this.lastId) {
         if (id >= 0) this.lastId = id;
@@ -69,11 +85,24 @@
     if ((this.partial?.length ?? 0) > MAX_PARTIAL_BYTES) {
       throw new EventTooLargeError('server-sent event exceeds 1 MiB');
     }
-    if (eventCount === 0) return NO_EVENTS;
-    const joined =
-      newEvents.length === 1 ? newEvents[0] : Buffer.concat(newEvents);
-    return {bytes: joined, eventCount};
+    return {bytes: joinEvents(newEvents), eventCount, isInvalid};
   }
+
+  /**
+   * Whether an event without an id can belong to the stream. Anything can while
+   * no event had one; a continuation has to begin with an id.
+   */
+  private mayOmitId(event: Buffer): boolean {
+    if (this.lastId < 0 && !this.awaitsId) return true;
+    const allowed = this.awaitsId ? COMMENT_LINE : FIELD_LINE;
+    const lines = event.toString('latin1').split(/\r?\n/);
+    return lines.every(line => line === '' || allowed.test(line));
+  }
+}
+
+function joinEvents(events: readonly Buffer[]): Buffer {
+  if (events.length === 0) return NO_BYTES;
+  return events.length === 1 ? events[0] : Buffer.concat(events);
 }
 
 /** Returns the index after the event's final empty line, or -1. */
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -33,13 +33,18 @@
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec} from '../routing/routing_table.js';
+import {
+  INVALID_RESPONSE_CAUSES,
+  mediaType,
+  type InvalidResponse,
+} from './check_response.js';
 import {
   allowedFirstServers,
   callerIdleTimeoutMs,
   decideStream,
   type StreamDecision,
 } from './decide_stream.js';
-import {EventSplitter} from './event_splitter.js';
+import {EventSplitter, type SplitEvents} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 import {PromptGuard} from './prompt_guard.js';
 import {ReplacementPaths} from './replacement_paths.js';
@@ -113,6 +118,8 @@
   private refusedAttempts = 0;
   private mayHaveRun = false;
   private isHeadSent = false;
+  /** Media type of the head that was sent to the caller. */
+  private mediaType = '';
   private isRepathing = false;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
@@ -303,22 +310,21 @@
     first: ServerAddress,
     mayBeReused: boolean,
   ): UpstreamHandlers {
-    const {wire, limits, metrics, nowMs} = this.options;
+    const {wire, limits, nowMs} = this.options;
     return createStreamHandlers({
       wire,
-      metrics,
       request: this.exchange.request,
       mayBeReused,
       onMetadata: ({requestLimitPerS}) =>
         limits.observe(first, requestLimitPerS, nowMs()),
       onHead: headers => this.forwardHead(headers),
-      onData: chunk => this.forwardEvents(chunk),
+      onData: chunk => this.forwardData(chunk),
       onEnd: isLengthKnown => {
         if (isLengthKnown) this.complete();
         else this.completeIfServerLives();
       },
       onErrorResponse: response => this.handleErrorResponse(response),
-      onInvalidResponse: cause => this.abandonServer(cause),
+      onInvalidResponse: reason => this.discardResponse(reason),
       onFailure: ({cause, mayHaveRun}) =>
         this.handleServerLoss(cause, mayHaveRun),
     });
@@ -330,8 +336,14 @@
     const first = this.path[0].server.address;
     this.mayHaveRunOn.add(first);
     this.options.loads.recordAcceptance(first);
-    if (this.isHeadSent || this.isFinished) return;
+    if (this.isFinished) return;
+    const type = mediaType(headers);
+    if (this.isHeadSent) {
+      if (type !== this.mediaType) this.discardResponse('other_media_type');
+      return;
+    }
     this.isHeadSent = true;
+    this.mediaType = type;
     writeHead(
       this.exchange.res,
       HTTP_OK,
@@ -339,10 +351,15 @@
     );
   }
 
+  /** Forwards complete events, up to the first bytes that are none. */
+  private forwardData(chunk: Buffer): void {
+    const events = this.splitter.push(chunk);
+    if (events.eventCount > 0) this.forwardEvents(events);
+    if (events.isInvalid) this.discardResponse('not_an_event');
+  }
+
   /** Forwards complete events and records when they arrived. */
-  private forwardEvents(chunk: Buffer): void {
-    const {bytes, eventCount} = this.splitter.push(chunk);
-    if (eventCount === 0) return;
+  private forwardEvents({bytes, eventCount}: SplitEvents): void {
     const now = this.options.nowMs();
     if (this.firstEventAtMs === undefined) {
       this.firstEventAtMs = now;
@@ -460,6 +477,13 @@
       .catch(error => this.failInternally(error));
   }
 
+  private discardResponse(reason: InvalidResponse): void {
+    this.options.metrics.increment('azurecrank_invalid_responses_total', {
+      reason,
+    });
+    this.abandonServer(INVALID_RESPONSE_CAUSES[reason]);
+  }
+
   private abandonServer(cause: string): void {
     this.upstream?.abort();
     this.handleServerLoss(cause, true);
@@ -500,7 +524,7 @@
         cause: this.lastCause,
         availableRetries,
       });
-      this.splitter.discardPartial();
+      this.splitter.startResponse(this.isHeadSent);
       // The queue knows no limit on the servers that a request may run on.
       const mayQueue =
         decision === 'queue_again' && this.allowedServers() === undefined;
--- a/packages/forwarding/src/core/relay/stream_response.ts
+++ b/packages/forwarding/src/core/relay/stream_response.ts
@@ -1,7 +1,6 @@
 /** Interprets the response of a server to the request for a stream. */
-import type {Metrics} from '@azurecrank/core';
 import type {ResponseMetadata, WireCodec} from '../adapter/platform_adapter.js';
-import {INVALID_RESPONSE_CAUSES, checkResponse} from './check_response.js';
+import {checkResponse, type InvalidResponse} from './check_response.js';
 import type {UpstreamFailure, UpstreamHandlers} from './upstream.js';
 
 /** A complete response other than 200. */
@@ -13,7 +12,6 @@
 
 export interface StreamHandlerOptions {
   readonly wire: WireCodec;
-  readonly metrics: Metrics;
   /** Id of the request; a response to another one is invalid. */
   readonly request: string;
   /** Whether the connection may have had an earlier request. */
@@ -29,7 +27,7 @@
   onEnd(isLengthKnown: boolean): void;
   onErrorResponse(response: ErrorResponse): void;
   /** Called if the response cannot be that to the request. */
-  onInvalidResponse(cause: string): void;
+  onInvalidResponse(reason: InvalidResponse): void;
   onFailure(failure: UpstreamFailure): void;
 }
 
@@ -59,19 +57,14 @@
       options.onMetadata(metadata);
       const {request, mayBeReused} = options;
       const invalid = checkResponse(metadata, request, mayBeReused);
-      if (invalid) {
-        options.metrics.increment('azurecrank_invalid_responses_total', {
-          reason: invalid,
-        });
-        return options.onInvalidResponse(INVALID_RESPONSE_CAUSES[invalid]);
-      }
+      if (invalid) return options.onInvalidResponse(invalid);
       if (code === HTTP_OK) options.onHead(headers);
     },
     onData: chunk => {
       if (status === HTTP_OK) return options.onData(chunk);
       errorBytes += chunk.length;
       if (errorBytes <= MAX_ERROR_BYTES) errorBody.push(chunk);
-      else options.onInvalidResponse('error response exceeds 1 MiB');
+      else options.onInvalidResponse('too_large');
     },
     onEnd: () => {
       if (status === HTTP_OK) return options.onEnd(hasKnownLength(headers));
