Do not pass on refusals that no server has confirmed

A server's 408, 429 or 503 without the statement that it did not run the request was delivered as it came, also for calls and streams that may run only once. Callers take these statuses for a promise and would send such a request again although it may have run.

The caller of a request that must not run twice now gets 502 (outcome unknown, or stage lost for a stream) in place of such a response. What may be repeated is handled as before. The adapter says which statuses callers take for a refusal.

--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -56,6 +56,11 @@
   readonly request: string;
   /** Whether the server states that it did not run the request. */
   readonly notRun: boolean;
+  /**
+   * Whether callers take the status of the response for the statement that the
+   * request has not run.
+   */
+  readonly isRefusalStatus: boolean;
   /** The server on the path that failed, if the response names one. */
   readonly faultyAddress: ServerAddress | undefined;
   /**
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -24,6 +24,7 @@
 import {
   INVALID_RESPONSE_CAUSES,
   checkResponse,
+  unconfirmedRefusal,
   type InvalidResponse,
 } from './check_response.js';
 import {
@@ -157,16 +158,15 @@
     let head: string[] = [];
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const upstream = this.options.upstream.send(request, {
+    this.upstream = this.options.upstream.send(request, {
       onHead: (code, headers) => {
         status = code;
         head = [...headers];
         const {wire, limits, nowMs} = this.options;
         const metadata = wire.parseResponse(code, head);
         limits.observe(request.address, metadata.requestLimitPerS, nowMs());
-        const {isSingleUse} = request;
         const sent = this.exchange.request;
-        const invalid = checkResponse(metadata, sent, !isSingleUse);
+        const invalid = checkResponse(metadata, sent, !request.isSingleUse);
         if (invalid) this.discardResponse(invalid);
       },
       onData: chunk => {
@@ -174,14 +174,11 @@
         if (sizeBytes > MAX_RESPONSE_BYTES) this.discardResponse('too_large');
         else chunks.push(chunk);
       },
-      onEnd: () => {
-        this.handleResponse(status, head, Buffer.concat(chunks));
-      },
+      onEnd: () => this.handleResponse(status, head, Buffer.concat(chunks)),
       onFailure: ({cause, mayHaveRun}) => {
         this.failAttempt(mayHaveRun ? 'broken' : 'not_sent', cause);
       },
     });
-    this.upstream = upstream;
   }
 
   private discardResponse(reason: InvalidResponse): void {
@@ -199,6 +196,9 @@
   ): void {
     const metadata = this.options.wire.parseResponse(status, headers);
     if (metadata.notRun) return this.failAttempt('not_run', `status ${status}`);
+    const mayRepeat = this.accepted.route.kind === 'idempotent';
+    if (metadata.isRefusalStatus && !mayRepeat)
+      return this.failAttempt('broken', unconfirmedRefusal(status));
     this.lastResponse = {status, headers, body};
     this.clearTimer();
     this.recordOutcome({kind: 'answered', status});
--- a/packages/forwarding/src/core/relay/check_response.ts
+++ b/packages/forwarding/src/core/relay/check_response.ts
@@ -35,6 +35,14 @@
   return mayBeReused ? 'no_request_id' : undefined;
 }
 
+/**
+ * Returns the cause of failing a request that must not run twice: to its caller
+ * the status would state that it has not run, which its server did not.
+ */
+export function unconfirmedRefusal(status: number): string {
+  return `status ${status} without a statement that the request has not run`;
+}
+
 /** Returns the media type without parameters; empty if it is not stated. */
 export function mediaType(headers: readonly string[]): string {
   const at = headers.findIndex(
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -36,6 +36,7 @@
 import {
   INVALID_RESPONSE_CAUSES,
   mediaType,
+  unconfirmedRefusal,
   type InvalidResponse,
 } from './check_response.js';
 import {
@@ -433,7 +434,10 @@
    */
   private handleErrorResponse({status, headers, body}: ErrorResponse): void {
     const {wire, failureDetector} = this.options;
-    const {notRun, faultyAddress} = wire.parseResponse(status, headers);
+    const {notRun, faultyAddress, isRefusalStatus} = wire.parseResponse(
+      status,
+      headers,
+    );
     const first = this.path[0].server.address;
     if (notRun) {
       const faulty = faultyAddress ?? first;
@@ -447,6 +451,8 @@
     }
     this.mayHaveRun = true;
     if (this.isHeadSent) return this.handleServerLoss(`status ${status}`, true);
+    if (isRefusalStatus && !this.accepted.route.isResumable)
+      return this.handleServerLoss(unconfirmedRefusal(status), true);
     const {res} = this.exchange;
     writeHead(res, status, wire.toCallerHeaders(headers));
     res.end(body);
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -121,6 +121,7 @@
     return {
       request: REQUEST,
       notRun: headers.includes('not-run'),
+      isRefusalStatus: false,
       faultyAddress: undefined,
       requestLimitPerS: undefined,
     };
@@ -131,6 +132,8 @@
   }
 }
 
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Reads the id of the request and its refusal from the response's headers. */
 export class HeaderWire extends WireCodec {
   override parseCallerHeaders(): CallerMetadata {
@@ -141,11 +144,15 @@
     return [...headers];
   }
 
-  override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
+  override parseResponse(
+    status: number,
+    headers: RawHeaders,
+  ): ResponseMetadata {
     const at = headers.indexOf('request-id');
     return {
       request: at < 0 ? '' : headers[at + 1],
       notRun: headers.includes('not-run'),
+      isRefusalStatus: REFUSAL_STATUSES.has(status),
       faultyAddress: undefined,
       requestLimitPerS: undefined,
     };
--- a/packages/forwarding/test/stale_responses_test.ts
+++ b/packages/forwarding/test/stale_responses_test.ts
@@ -213,4 +213,33 @@
     expect(repeated.every(({isSingleUse}) => isSingleUse)).toEqual(true);
     expect(requests[0].isSingleUse).toEqual(false);
   });
+
+  // Guards against passing on a refusal that its server did not confirm.
+  describe('refusals without a statement that nothing has run', () => {
+    for (const status of [408, 429, 503]) {
+      it(`leave the outcome of a call open (${status})`, async () => {
+        const harness = new CallHarness([server], upstream, new HeaderWire());
+        server.onRequest = (socket, {id}) => {
+          socket.write(rawResponse(status, [`request-id: ${id}`], 'full'));
+        };
+        const res = await harness.call('non_idempotent', 'r1');
+        expect(res.statusCode).toEqual(502);
+      });
+
+      it(`leave the outcome of a stream open (${status})`, async () => {
+        using redirecting = new RedirectingUpstream(server.address);
+        server.onRequest = (socket, {id}) => {
+          socket.write(rawResponse(status, [`request-id: ${id}`], 'full'));
+        };
+        const {res} = new RelayHarness({isResumable: false}, [], undefined, {
+          upstream: redirecting,
+          wire: new HeaderWire(),
+          request: 'r1',
+        });
+        await waitUntil('stream ended', () => res.writableFinished);
+        expect(res.statusCode).toEqual(502);
+        expect(server.requests.length).toEqual(1);
+      });
+    }
+  });
 });
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -401,6 +401,7 @@
     return {
       request: headers[headers.indexOf(REQUEST_ID_HEADER) + 1],
       notRun: headers.includes('not-run'),
+      isRefusalStatus: false,
       faultyAddress: undefined,
       requestLimitPerS: headers.includes(LIMIT_HEADER)
         ? Number(limit)
