Merge the checks of responses

Holds of servers that refuse with a Retry-After apply also if the response bears no id: such a refusal proves nothing about its request, but the pause is the server's. The stand-ins that ask for a pause echo the request id now, as servers do.

--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -21,6 +21,12 @@
 import {writeResponse} from '../gateway/write_response.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import {CallServers, type CallServersOptions} from './call_servers.js';
+import {
+  INVALID_RESPONSE_CAUSES,
+  checkResponse,
+  unconfirmedRefusal,
+  type InvalidResponse,
+} from './check_response.js';
 import {
   decideCall,
   type AttemptOutcome,
@@ -157,7 +163,7 @@
     let head: string[] = [];
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const upstream = this.options.upstream.send(request, {
+    this.upstream = this.options.upstream.send(request, {
       onHead: (code, headers) => {
         status = code;
         head = [...headers];
@@ -165,33 +171,33 @@
         const metadata = wire.parseResponse(code, head);
         if (metadata.isServerLeaving) leavingServers.record(server, 'request');
         limits.observe(request.address, metadata.requestLimitPerS, nowMs());
-        if (!this.exchange.isAnsweredBy(metadata))
-          return this.abortAttempt(
-            'response carries the id of another request',
-          );
-        holds.observe([server], metadata, nowMs());
+        const sent = this.exchange.request;
+        const invalid = checkResponse(metadata, sent, !request.isSingleUse);
+        // A refusal without an id proves nothing, but the pause is the server's.
+        if (invalid !== 'other_request')
+          holds.observe([server], metadata, nowMs());
+        if (invalid) return this.discardResponse(invalid);
         if (!metadata.notRun)
           holds.recordAcceptance(server, this.sentAtMs, nowMs());
       },
       onData: chunk => {
         sizeBytes += chunk.length;
-        if (sizeBytes > MAX_RESPONSE_BYTES)
-          this.abortAttempt('response exceeds 32 MiB');
+        if (sizeBytes > MAX_RESPONSE_BYTES) this.discardResponse('too_large');
         else chunks.push(chunk);
       },
-      onEnd: () => {
-        this.handleResponse(status, head, Buffer.concat(chunks));
-      },
+      onEnd: () => this.handleResponse(status, head, Buffer.concat(chunks)),
       onFailure: ({cause, mayHaveRun}) => {
         this.failAttempt(mayHaveRun ? 'broken' : 'not_sent', cause);
       },
     });
-    this.upstream = upstream;
   }
 
-  private abortAttempt(cause: string): void {
+  private discardResponse(reason: InvalidResponse): void {
+    this.options.metrics.increment('azurecrank_invalid_responses_total', {
+      reason,
+    });
     this.upstream?.abort();
-    this.failAttempt('broken', cause);
+    this.failAttempt('broken', INVALID_RESPONSE_CAUSES[reason]);
   }
 
   private handleResponse(
@@ -201,6 +207,9 @@
   ): void {
     const metadata = this.options.wire.parseResponse(status, headers);
     if (metadata.notRun) return this.failAttempt('not_run', `status ${status}`);
+    const mayRepeat = this.accepted.route.kind === 'idempotent';
+    if (metadata.isRefusalStatus && !mayRepeat)
+      return this.failAttempt('broken', unconfirmedRefusal(status));
     this.lastResponse = {status, headers, body};
     this.clearTimer();
     this.recordOutcome({kind: 'answered', status});
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -36,13 +36,19 @@
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {ModelSpec} from '../routing/routing_table.js';
+import {
+  INVALID_RESPONSE_CAUSES,
+  mediaType,
+  unconfirmedRefusal,
+  type InvalidResponse,
+} from './check_response.js';
 import {
   allowedFirstServers,
   callerIdleTimeoutMs,
   decideStream,
   type StreamDecision,
 } from './decide_stream.js';
-import {EventSplitter} from './event_splitter.js';
+import {EventSplitter, type SplitEvents} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 import {PromptGuard} from './prompt_guard.js';
 import {ReplacementPaths} from './replacement_paths.js';
@@ -118,6 +124,8 @@
   private refusedAttempts = 0;
   private mayHaveRun = false;
   private isHeadSent = false;
+  /** Media type of the head that was sent to the caller. */
+  private mediaType = '';
   private isRepathing = false;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
@@ -128,6 +136,8 @@
   private readonly promptGuard: PromptGuard;
   private readonly replacements: ReplacementPaths;
   private readonly failedFirstServers = new Set<ServerAddress>();
+  /** First servers to which the request has been sent. */
+  private readonly sentTo = new Set<ServerAddress>();
   /** First servers that may have run the request. */
   private readonly mayHaveRunOn = new Set<ServerAddress>();
 
@@ -288,6 +298,9 @@
     const {address} = path[0].server;
     options.limits.recordSend(address, now);
     for (const {server} of path) options.holds.recordSend(server, now);
+    // A repeated refusal of this request has the same id as its next response.
+    const isSingleUse = this.sentTo.has(address);
+    this.sentTo.add(address);
     this.upstream = options.upstream.send(
       {
         address,
@@ -295,36 +308,40 @@
         target: exchange.target,
         headers,
         body: accepted.body,
-        isSingleUse: false,
+        isSingleUse,
       },
-      this.createHandlers(path),
+      this.createHandlers(path, !isSingleUse),
     );
   }
 
-  private createHandlers(path: ServerPath): UpstreamHandlers {
+  private createHandlers(
+    path: ServerPath,
+    mayBeReused: boolean,
+  ): UpstreamHandlers {
     const {wire, limits, holds, leavingServers, nowMs} = this.options;
     const servers = path.map(({server}) => server);
     const [first] = servers;
     return createStreamHandlers({
       wire,
       request: this.exchange.request,
-      onMetadata: metadata => {
+      mayBeReused,
+      onMetadata: (metadata, invalid) => {
         const {isServerLeaving, requestLimitPerS} = metadata;
         // A response comes from the first server of its path, so the statement
         // is that server's, even if the response names another faulty server.
         if (isServerLeaving) leavingServers.record(first, 'request');
         limits.observe(first.address, requestLimitPerS, nowMs());
-        if (this.exchange.isAnsweredBy(metadata))
+        if (invalid !== 'other_request')
           holds.observe(servers, metadata, nowMs());
       },
       onHead: headers => this.forwardHead(headers),
-      onData: chunk => this.forwardEvents(chunk),
+      onData: chunk => this.forwardData(chunk),
       onEnd: isLengthKnown => {
         if (isLengthKnown) this.complete();
         else this.completeIfServerLives();
       },
       onErrorResponse: response => this.handleErrorResponse(response),
-      onInvalidResponse: cause => this.abandonServer(cause),
+      onInvalidResponse: reason => this.discardResponse(reason),
       onFailure: ({cause, mayHaveRun}) =>
         this.handleServerLoss(cause, mayHaveRun),
     });
@@ -339,8 +356,14 @@
     loads.recordAcceptance(first);
     for (const {server} of this.path)
       holds.recordAcceptance(server, this.sentAtMs, nowMs());
-    if (this.isHeadSent || this.isFinished) return;
+    if (this.isFinished) return;
+    const type = mediaType(headers);
+    if (this.isHeadSent) {
+      if (type !== this.mediaType) this.discardResponse('other_media_type');
+      return;
+    }
     this.isHeadSent = true;
+    this.mediaType = type;
     writeHead(
       this.exchange.res,
       HTTP_OK,
@@ -348,10 +371,15 @@
     );
   }
 
+  /** Forwards complete events, up to the first bytes that are none. */
+  private forwardData(chunk: Buffer): void {
+    const events = this.splitter.push(chunk);
+    if (events.eventCount > 0) this.forwardEvents(events);
+    if (events.isInvalid) this.discardResponse('not_an_event');
+  }
+
   /** Forwards complete events and records when they arrived. */
-  private forwardEvents(chunk: Buffer): void {
-    const {bytes, eventCount} = this.splitter.push(chunk);
-    if (eventCount === 0) return;
+  private forwardEvents({bytes, eventCount}: SplitEvents): void {
     const now = this.options.nowMs();
     if (this.firstEventAtMs === undefined) {
       this.firstEventAtMs = now;
@@ -425,10 +453,8 @@
    */
   private handleErrorResponse({status, headers, body}: ErrorResponse): void {
     const {wire, failureDetector} = this.options;
-    const {notRun, faultyAddress, retryAfterMs} = wire.parseResponse(
-      status,
-      headers,
-    );
+    const {notRun, isRefusalStatus, faultyAddress, retryAfterMs} =
+      wire.parseResponse(status, headers);
     const first = this.path[0].server.address;
     if (notRun) {
       const faulty = faultyAddress ?? first;
@@ -442,6 +468,8 @@
     }
     this.mayHaveRun = true;
     if (this.isHeadSent) return this.handleServerLoss(`status ${status}`, true);
+    if (isRefusalStatus && !this.accepted.route.isResumable)
+      return this.handleServerLoss(unconfirmedRefusal(status), true);
     const {res} = this.exchange;
     writeHead(res, status, wire.toCallerHeaders(headers));
     res.end(body);
@@ -472,6 +500,13 @@
       .catch(error => this.failInternally(error));
   }
 
+  private discardResponse(reason: InvalidResponse): void {
+    this.options.metrics.increment('azurecrank_invalid_responses_total', {
+      reason,
+    });
+    this.abandonServer(INVALID_RESPONSE_CAUSES[reason]);
+  }
+
   private abandonServer(cause: string): void {
     this.upstream?.abort();
     this.handleServerLoss(cause, true);
@@ -512,7 +547,7 @@
         cause: this.lastCause,
         availableRetries,
       });
-      this.splitter.discardPartial();
+      this.splitter.startResponse(this.isHeadSent);
       // The queue knows no limit on the servers that a request may run on.
       const mayQueue =
         decision === 'queue_again' && this.allowedServers() === undefined;
--- a/packages/forwarding/src/core/relay/stream_response.ts
+++ b/packages/forwarding/src/core/relay/stream_response.ts
@@ -1,5 +1,6 @@
 /** Interprets the response of a server to the request for a stream. */
 import type {ResponseMetadata, WireCodec} from '../adapter/platform_adapter.js';
+import {checkResponse, type InvalidResponse} from './check_response.js';
 import type {UpstreamFailure, UpstreamHandlers} from './upstream.js';
 
 /** A complete response other than 200. */
@@ -13,7 +14,13 @@
   readonly wire: WireCodec;
   /** Id of the request; a response to another one is invalid. */
   readonly request: string;
-  onMetadata(metadata: ResponseMetadata): void;
+  /** Whether the connection may have had an earlier request. */
+  readonly mayBeReused: boolean;
+  /** @param invalid why the response cannot be that to the request, if so */
+  onMetadata(
+    metadata: ResponseMetadata,
+    invalid: InvalidResponse | undefined,
+  ): void;
   /** Called with the headers of a 200. */
   onHead(headers: string[]): void;
   onData(chunk: Buffer): void;
@@ -24,7 +31,7 @@
   onEnd(isLengthKnown: boolean): void;
   onErrorResponse(response: ErrorResponse): void;
   /** Called if the response cannot be that to the request. */
-  onInvalidResponse(cause: string): void;
+  onInvalidResponse(reason: InvalidResponse): void;
   onFailure(failure: UpstreamFailure): void;
 }
 
@@ -51,19 +58,17 @@
       status = code;
       headers = [...rawHeaders];
       const metadata = options.wire.parseResponse(code, headers);
-      options.onMetadata(metadata);
-      const {request} = metadata;
-      if (request !== '' && request !== options.request) {
-        const cause = 'response carries the id of another request';
-        return options.onInvalidResponse(cause);
-      }
+      const {request, mayBeReused} = options;
+      const invalid = checkResponse(metadata, request, mayBeReused);
+      options.onMetadata(metadata, invalid);
+      if (invalid) return options.onInvalidResponse(invalid);
       if (code === HTTP_OK) options.onHead(headers);
     },
     onData: chunk => {
       if (status === HTTP_OK) return options.onData(chunk);
       errorBytes += chunk.length;
       if (errorBytes <= MAX_ERROR_BYTES) errorBody.push(chunk);
-      else options.onInvalidResponse('error response exceeds 1 MiB');
+      else options.onInvalidResponse('too_large');
     },
     onEnd: () => {
       if (status === HTTP_OK) return options.onEnd(hasKnownLength(headers));
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -124,6 +124,7 @@
     return {
       request: idIndex < 0 ? REQUEST : headers[idIndex + 1],
       notRun: headers.includes('not-run'),
+      isRefusalStatus: false,
       faultyAddress: undefined,
       isServerLeaving: headers.includes('leaving'),
       requestLimitPerS: undefined,
@@ -142,6 +143,46 @@
   return index < 0 ? undefined : Number(headers[index + 1]);
 }
 
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Reads the id of the request and its refusal from the response's headers. */
+export class HeaderWire extends WireCodec {
+  override parseCallerHeaders(): CallerMetadata {
+    return CALLER_FACTS;
+  }
+
+  override toServerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+
+  override parseResponse(
+    status: number,
+    headers: RawHeaders,
+  ): ResponseMetadata {
+    const at = headers.indexOf('request-id');
+    return {
+      request: at < 0 ? '' : headers[at + 1],
+      notRun: headers.includes('not-run'),
+      isRefusalStatus: REFUSAL_STATUSES.has(status),
+      faultyAddress: undefined,
+      isServerLeaving: false,
+      requestLimitPerS: undefined,
+      retryAfterMs: undefined,
+    };
+  }
+
+  override toCallerHeaders(headers: RawHeaders): string[] {
+    return [...headers];
+  }
+}
+
+/** What connects the relay of the harness with servers. */
+export interface Transport {
+  readonly upstream: Upstream;
+  readonly wire: WireCodec;
+  readonly request: string;
+}
+
 export class FakeControl extends ServerControl {
   readonly repaths: ServerPath[] = [];
   readonly healthChecks: ServerAddress[] = [];
@@ -298,6 +339,7 @@
     route: Partial<Route> = {},
     promptParts: readonly string[] = [],
     readonly quarantine = new PromptQuarantine(() => {}),
+    transport: Partial<Transport> = {},
   ) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
     const {fleet, logger} = this;
@@ -326,7 +368,7 @@
       hasEventSince: (_, sinceMs) => this.lastEventAtMs >= sinceMs,
       onServerLost: () => {},
     });
-    this.relay = this.startStream(route, promptParts, this.res);
+    this.relay = this.startStream(route, promptParts, this.res, transport);
   }
 
   /** Starts another stream with its own caller. */
@@ -334,12 +376,14 @@
     route: Partial<Route> = {},
     promptParts: readonly string[] = [],
     res = new FakeResponse(),
+    transport: Partial<Transport> = {},
   ): StreamRelay {
     const {logger} = this;
     const metrics = new Metrics();
     const nowMs = () => this.nowMs;
+    const {request = REQUEST} = transport;
     const req = {
-      rawHeaders: [],
+      rawHeaders: ['request-id', request],
       method: 'POST',
       url: '/draft/1',
       complete: true,
@@ -347,13 +391,17 @@
     const exchange = new CallerExchange(
       req as unknown as IncomingMessage,
       res as unknown as ServerResponse,
-      {...CALLER_FACTS, sharedPromptParts: promptParts as PromptPartId[]},
+      {
+        ...CALLER_FACTS,
+        request,
+        sharedPromptParts: promptParts as PromptPartId[],
+      },
       this.nowMs,
     );
     const accepted = acceptedRequest({...ROUTE, ...route}, this.nowMs + 20_000);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
-      request: REQUEST,
+      request: request as RequestId,
       workspace: 'w' as WorkspaceId,
       weight: 1,
       rank: 'urgent',
@@ -371,8 +419,8 @@
       MODEL,
       this.admission,
       {
-        upstream: this.upstream,
-        wire: new FakeWire(),
+        upstream: transport.upstream ?? this.upstream,
+        wire: transport.wire ?? new FakeWire(),
         control: this.control,
         fleet: this.fleet,
         leavingServers: this.leavingServers,
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -80,6 +80,7 @@
 const MAX_WAIT_MS = 425;
 
 const FRAMING = ['transfer-encoding', 'chunked'];
+const REQUEST_ID_HEADER = 'request-id';
 const LIMIT_HEADER = 'limit';
 const RETRY_AFTER_HEADER = 'retry-after-ms';
 
@@ -307,8 +308,9 @@
     state.arrivals.push({atMs: this.nowMs, entry: run.entry, pauseMs});
     if (pauseMs !== undefined) {
       run.isOver = true;
+      const idHeader = [REQUEST_ID_HEADER, run.request.id];
       const headers = ['not-run', '', RETRY_AFTER_HEADER, `${pauseMs}`];
-      run.handlers.onHead(503, headers);
+      run.handlers.onHead(503, [...headers, ...idHeader]);
       return run.handlers.onEnd();
     }
     const crashes = run.request.parts.includes(CRASHING_PART);
@@ -316,7 +318,8 @@
     state.runs.add(run);
     this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
       if (run.isOver) return;
-      run.handlers.onHead(200, state.headers);
+      const idHeader = [REQUEST_ID_HEADER, run.request.id];
+      run.handlers.onHead(200, [...state.headers, ...idHeader]);
       if (!crashes) return this.sendEvent(state, run, 1);
       const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
       this.after(delayMs, () => {
@@ -430,8 +433,9 @@
   override parseResponse(_: number, headers: RawHeaders): ResponseMetadata {
     const limit = headers[headers.indexOf(LIMIT_HEADER) + 1];
     return {
-      request: '',
+      request: headers[headers.indexOf(REQUEST_ID_HEADER) + 1],
       notRun: headers.includes('not-run'),
+      isRefusalStatus: false,
       faultyAddress: undefined,
       isServerLeaving: headers.includes('leaving'),
       requestLimitPerS: headers.includes(LIMIT_HEADER)
