Keep the revision of the fleet with unchanged registrations

Servers renew their registration about once a second, and each renewal raised the revision of the fleet. Every entry then derived all chains again, some 48 times a second with 58 servers: processor time of small hosts, in which requests wait.

A registration that changes nothing but its renewal keeps the revision. The new test failed before (revision 2 in place of 1). The effect on processor time was not measured by itself.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -5,10 +5,11 @@
  * arguments.
  */
 import type {ServerId, ServiceId} from '@azurecrank/core';
-import type {
-  BackendServer,
-  LayerRange,
-  ServerAddress,
+import {
+  isSameIncarnation,
+  type BackendServer,
+  type LayerRange,
+  type ServerAddress,
 } from './backend_server.js';
 import {ServerExclusions} from './server_exclusions.js';
 import {SlowServers} from './slow_servers.js';
@@ -117,8 +118,12 @@
       this.supersededObservations.set(server.server, observed);
     }
     this.registeredLayers.set(server.server, server.layers);
-    this.servers.set(server.server, {...server, layers, reloadingLayerTokens});
     this.missingServers.delete(server.server);
+    const next = {...server, layers, reloadingLayerTokens};
+    const known = this.servers.get(server.server);
+    // Each heartbeat of a server is a registration, mostly without a change.
+    if (known && isSameServer(known, next)) return;
+    this.servers.set(server.server, next);
     this.changeCount++;
   }
 
@@ -428,6 +433,20 @@
   }
 }
 
+/** Whether both describe the same state of a server. */
+function isSameServer(a: BackendServer, b: BackendServer): boolean {
+  return (
+    isSameIncarnation(a, b) &&
+    a.service === b.service &&
+    a.address === b.address &&
+    a.availabilityZone === b.availabilityZone &&
+    a.state === b.state &&
+    a.accelerator === b.accelerator &&
+    a.reloadingLayerTokens === b.reloadingLayerTokens &&
+    isSameRange(a.layers, b.layers)
+  );
+}
+
 function isSameRange(
   a: LayerRange | undefined,
   b: LayerRange | undefined,
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -28,6 +28,18 @@
     expect(fleet.findByAddress(registered.address)?.server).toEqual(id);
   });
 
+  // Guards against deriving all chains anew with each heartbeat of a server.
+  it('changes its revision only with the state of a server', () => {
+    const fleet = new FleetView();
+    fleet.put(registered, 0);
+    const {revision} = fleet;
+    fleet.put({...registered, layers: {...OLD_LAYERS}}, 1000);
+    expect(fleet.revision).toEqual(revision);
+    fleet.put({...registered, layers: NEW_LAYERS}, 2000);
+    fleet.put({...registered, layers: NEW_LAYERS, state: 'draining'}, 3000);
+    expect(fleet.revision).toEqual(revision + 2);
+  });
+
   describe('a server that reports a slowdown factor', () => {
     const {address} = registered;
     const slowdownFactorOf = (fleet: FleetView) =>
