Keep holds of servers that are not listed for a moment

A registration that could not be read, or had lapsed, dropped the hold of its server; the next one brought the server back, and the entry sent it requests before the time that it had named was over. Found in review.

Holds end with their time or with the incarnation, and are dropped when they are over.

--- a/packages/forwarding/src/core/limits/server_holds.ts
+++ b/packages/forwarding/src/core/limits/server_holds.ts
@@ -89,10 +89,10 @@
     this.holds.delete(server.address);
   }
 
-  /** Drops the holds of servers that are not listed. */
-  retainServers(addresses: ReadonlySet<ServerAddress>): void {
-    for (const address of this.holds.keys()) {
-      if (!addresses.has(address)) this.holds.delete(address);
+  /** Drops holds that are over; those of unlisted servers go on. */
+  expire(nowMs: number): void {
+    for (const [address, {endsAtMs}] of this.holds) {
+      if (nowMs - endsAtMs > HOLD_MEMORY_MS) this.holds.delete(address);
     }
   }
 
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -424,7 +424,7 @@
     const addresses = new Set(servers.map(({address}) => address));
     this.callBalancer.retainServers(addresses);
     this.limits.retainServers(addresses);
-    this.holds.retainServers(addresses);
+    this.holds.expire(performance.now());
     this.mesh.broadcastShares();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
