Count tokens in use for each server of a path

Former paths of a first server that is still in use were forgotten, so the servers that left its chain for another one looked free; and a chain that shares a server with each of several former chains counted the tokens of all of them, though no server has more than those that pass it. Found in review.

Loads keep former paths for 5 s while their requests may run, and take the server of a path with the most tokens. Both new tests failed before.

--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -27,6 +27,12 @@
 /** Time for which the outcome of a trial request is awaited. */
 const TRIAL_TIMEOUT_MS = 1000;
 
+/**
+ * Requests use a path for at most about this time after new ones take another;
+ * a typical answer takes about 3 s.
+ */
+const FORMER_PATH_RETENTION_MS = 5000;
+
 /** A chain that refused the last request sent to it. */
 interface RefusingChain {
   readonly backoffMs: number;
@@ -35,6 +41,13 @@
   closedUntilMs: number;
 }
 
+/** A path that requests to its first server take, or took. */
+interface RecordedPath {
+  readonly path: ServerPath;
+  /** Time at which new requests went elsewhere; undefined for current paths. */
+  readonly replacedAtMs: number | undefined;
+}
+
 interface PeerUsage {
   readonly usedTokens: ReadonlyMap<ServerAddress, number>;
   readonly atMs: number;
@@ -44,8 +57,8 @@
   private readonly ownTokensByFirst = new Map<ServerAddress, number>();
   private readonly peerUsages = new Map<string, PeerUsage>();
   private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
-  private readonly pathsByFirst = new Map<ServerAddress, ServerPath>();
-  private sharedFirstServers = new WeakMap<ServerPath, ServerAddress[]>();
+  private recordedPaths: RecordedPath[] = [];
+  private firstServersByPath = new WeakMap<ServerPath, ServerAddress[][]>();
 
   /**
    * @param limits limits that servers name; none by default
@@ -88,15 +101,25 @@
     chains: readonly ServerChain[],
     nowMs: number,
   ): void {
-    this.sharedFirstServers = new WeakMap();
-    for (const [first, [{server}]] of this.pathsByFirst) {
-      if (server.service !== service) continue;
-      if (this.usedTokensOf(first, nowMs) === 0)
-        this.pathsByFirst.delete(first);
-    }
-    for (const {path} of chains) {
-      this.pathsByFirst.set(path[0].server.address, path);
-    }
+    this.firstServersByPath = new WeakMap();
+    const former = this.recordedPaths
+      .map(recorded =>
+        recorded.path[0].server.service === service
+          ? {...recorded, replacedAtMs: recorded.replacedAtMs ?? nowMs}
+          : recorded,
+      )
+      .filter(recorded => this.mayBeInUse(recorded, nowMs));
+    const current = chains.map(({path}) => ({path, replacedAtMs: undefined}));
+    this.recordedPaths = [...former, ...current];
+  }
+
+  private mayBeInUse(
+    {path, replacedAtMs}: RecordedPath,
+    nowMs: number,
+  ): boolean {
+    if (replacedAtMs === undefined) return true;
+    const isRecent = nowMs - replacedAtMs <= FORMER_PATH_RETENTION_MS;
+    return isRecent && this.usedTokensOf(path[0].server.address, nowMs) > 0;
   }
 
   /** Replaces the usage reported by a peer. */
@@ -141,30 +164,40 @@
     }
   }
 
-  /** Tokens in use on the servers of a path, by this entry and its peers. */
+  /**
+   * Tokens in use, by this entry and its peers, on the server of the path that
+   * has the most.
+   */
   usedTokens(path: ServerPath, nowMs: number): number {
-    let firstServers = this.sharedFirstServers.get(path);
-    if (!firstServers) {
-      firstServers = this.firstServersSharing(path);
-      this.sharedFirstServers.set(path, firstServers);
+    let firstServersOfEach = this.firstServersByPath.get(path);
+    if (!firstServersOfEach) {
+      firstServersOfEach = this.firstServersOfEach(path);
+      this.firstServersByPath.set(path, firstServersOfEach);
     }
-    return firstServers.reduce(
-      (sum, first) => sum + this.usedTokensOf(first, nowMs),
-      0,
+    const usedOfEach = firstServersOfEach.map(firstServers =>
+      firstServers.reduce(
+        (sum, first) => sum + this.usedTokensOf(first, nowMs),
+        0,
+      ),
     );
+    return Math.max(...usedOfEach);
   }
 
-  /** First servers of the chains that have a server in common with the path. */
-  private firstServersSharing(path: ServerPath): ServerAddress[] {
-    const servers = new Set(path.map(({server}) => server.address));
+  /**
+   * Returns for each server of the path the first servers whose requests pass
+   * it; equal lists only once.
+   */
+  private firstServersOfEach(path: ServerPath): ServerAddress[][] {
     const first = path[0].server.address;
-    const others = [...this.pathsByFirst].flatMap(([otherFirst, other]) =>
-      otherFirst !== first &&
-      other.some(({server}) => servers.has(server.address))
-        ? [otherFirst]
-        : [],
-    );
-    return [first, ...others];
+    const lists = path.map(({server}) => {
+      const others = this.recordedPaths
+        .filter(recorded =>
+          recorded.path.some(other => other.server.address === server.address),
+        )
+        .map(recorded => recorded.path[0].server.address);
+      return [...new Set([first, ...others])].sort();
+    });
+    return [...new Map(lists.map(list => [list.join(), list])).values()];
   }
 
   /** Tokens of the requests that were sent to this first server. */
--- a/packages/forwarding/test/chain_loads_test.ts
+++ b/packages/forwarding/test/chain_loads_test.ts
@@ -32,6 +32,29 @@
       expect(loads.freeTokens(other, 100)).toEqual(admissible(other));
     });
 
+    it('counts the tokens of former paths with the same first server', () => {
+      const loads = new ChainLoads();
+      const borrowed: ServerChain = {
+        ...other,
+        path: [...other.path.slice(0, -1), chain.path[2]],
+      };
+      loads.recordChains(SERVICE, [chain, other], 0);
+      loads.reserve(first, 50_000, 0);
+      const shortened = {...chain, path: chain.path.slice(0, 2)};
+      loads.recordChains(SERVICE, [shortened, borrowed], 100);
+      expect(loads.usedTokens(borrowed.path, 100)).toEqual(50_000);
+    });
+
+    it('counts for each server only what passes it', () => {
+      const loads = new ChainLoads();
+      loads.recordChains(SERVICE, [chain, other], 0);
+      loads.reserve(first, 40_000, 0);
+      loads.reserve(other.path[0].server.address, 30_000, 0);
+      const mixed = {...chain, path: [chain.path[1], other.path[1]]};
+      loads.recordChains(SERVICE, [mixed], 100);
+      expect(loads.usedTokens(mixed.path, 100)).toEqual(40_000);
+    });
+
     it('counts the tokens that peers use on the former chain', () => {
       const loads = new ChainLoads();
       loads.recordChains(SERVICE, [chain], 0);
