Weigh measured admissions with the rate that chains suggest

With fewer than five admissions in the window the wait was estimated from what all chains serve, as if none were full.

The estimate weighs what was measured with the expected rate, which counts as much as two requests. It is that of all entries: this one stands for each entry whose requests wait. The new test in model_admission_test.ts brings the case about.

--- a/packages/forwarding/src/core/admission/admission_rate_meter.ts
+++ b/packages/forwarding/src/core/admission/admission_rate_meter.ts
@@ -9,8 +9,11 @@
 /** Minimum span of measurement before a rate is known. */
 const MIN_SPAN_MS = 200;
 
-/** Fewer admissions do not tell a rate: an entry of many admits few requests. */
-const MIN_ADMISSIONS = 5;
+/**
+ * Weight of the expected rate in an estimate, in requests: an entry of many
+ * admits too few requests in the window to measure a rate by itself.
+ */
+const PRIOR_REQUESTS = 2;
 
 interface Admission {
   readonly atMs: number;
@@ -42,7 +45,7 @@
     this.recentAdmissions.push({atMs: nowMs, costTokens});
   }
 
-  /** Returns undefined if too little was measured yet. */
+  /** Returns undefined if not measuring, or not for long enough yet. */
   rate(nowMs: number): AdmissionRate | undefined {
     if (this.measuringSinceMs === undefined) return undefined;
     const spanMs = Math.min(WINDOW_MS, nowMs - this.measuringSinceMs);
@@ -50,7 +53,6 @@
     this.recentAdmissions = this.recentAdmissions.filter(
       a => nowMs - a.atMs < WINDOW_MS,
     );
-    if (this.recentAdmissions.length < MIN_ADMISSIONS) return undefined;
     const tokens = this.recentAdmissions.reduce(
       (sum, a) => sum + a.costTokens,
       0,
@@ -60,4 +62,24 @@
       requestsPerMs: this.recentAdmissions.length / spanMs,
     };
   }
+
+  /**
+   * Estimates the rate of admissions in tokens a millisecond, from those that
+   * were measured and from the expected rate.
+   * @param requestTokens tokens of a typical request
+   */
+  estimateTokensPerMs(
+    expectedTokensPerMs: number,
+    requestTokens: number,
+    nowMs: number,
+  ): number {
+    const priorTokens = PRIOR_REQUESTS * requestTokens;
+    const priorMs = priorTokens / expectedTokensPerMs;
+    if (this.measuringSinceMs === undefined) return priorTokens / priorMs;
+    const spanMs = Math.min(WINDOW_MS, nowMs - this.measuringSinceMs);
+    const tokens = this.recentAdmissions
+      .filter(({atMs}) => nowMs - atMs < WINDOW_MS)
+      .reduce((sum, {costTokens}) => sum + costTokens, 0);
+    return (tokens + priorTokens) / (spanMs + priorMs);
+  }
 }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -165,18 +165,30 @@
     return expectedWaitMs > maxWaitMs * EARLY_REFUSAL_WAIT_FACTOR;
   }
 
-  /** Returns 0 if nothing is known of the wait. */
+  /**
+   * Estimates the wait behind the requests that go first at all entries, at the
+   * rate of all entries: this entry stands for each one whose requests wait.
+   * Returns 0 if nothing is known.
+   */
   private expectedWaitMs(request: WaitingRequest, nowMs: number): number {
-    const tokens = this.queue.costAhead(request) + request.costTokens;
-    const measured = this.rateMeter.rate(nowMs);
-    if (measured) return tokens / measured.tokensPerMs;
-    const spec = this.options.model();
+    const {model, peerQueues, service} = this.options;
+    const spec = model();
     const chains = this.currentChains();
     if (!spec || chains.length === 0) return 0;
+    const requestTokens = typicalStreamTokens(spec);
+    const expectedTokensPerMs =
+      (totalStreamsPerS(spec, chains) * requestTokens) / MS_PER_SECOND;
+    const entries = 1 + peerQueues.waitingPeers(service, nowMs);
     const tokensPerMs =
-      (totalStreamsPerS(spec, chains) * typicalStreamTokens(spec)) /
-      MS_PER_SECOND;
-    return (tokens + this.tokensAhead(request, false, nowMs)) / tokensPerMs;
+      entries *
+      this.rateMeter.estimateTokensPerMs(
+        expectedTokensPerMs / entries,
+        requestTokens,
+        nowMs,
+      );
+    const tokensAhead =
+      this.queue.costAhead(request) + this.tokensAhead(request, false, nowMs);
+    return (tokensAhead + request.costTokens) / tokensPerMs;
   }
 
   /** Whether any chain can admit a request that uses this many tokens. */
--- a/packages/forwarding/test/model_admission_test.ts
+++ b/packages/forwarding/test/model_admission_test.ts
@@ -188,6 +188,23 @@
       expect(admission.refused).toEqual(['a']);
     });
 
+    // Guards against waiting in vain while hardly any place becomes free.
+    it('refuses most requests at once while none is admitted', () => {
+      const admission = new AdmissionHarness();
+      admission.setUsedFraction(1);
+      admission.enqueue('first', 'urgent');
+      let waited = 0;
+      for (let i = 0; i < 60; i++) {
+        admission.nowMs += 50;
+        admission.setUsedFraction(1);
+        const before = admission.refused.length;
+        admission.admission.processQueue();
+        waited += admission.refused.length - before;
+        admission.enqueue(`r${i}`, 'urgent');
+      }
+      expect(waited).toBeLessThan(admission.refused.length / 2);
+    });
+
     it('admits requests at once when tokens are free again', () => {
       const admission = overload(1000);
       admission.setUsedFraction(0);
