Leave chains alone that lose no server while others are broken

The members of chains dissolved in the first pass are spares in the next passes, and the rule for slow stages took them. It changes a chain in use, whose streams would lose the caches of that stage. Change: in a planning run, chains that lost no server do not take servers that broken or rebuilt chains of the previous plan release. This includes stages that a repaired chain exchanges. New and repaired chains may take them.

Not solved: the next run, 1 s later, no longer knows what was released.

--- a/packages/core/src/core/placement/plan_chains.ts
+++ b/packages/core/src/core/placement/plan_chains.ts
@@ -22,7 +22,13 @@
   type PlanningOptions,
 } from './placement_types.js';
 import {rebuildChains} from './rebuild_chains.js';
-import {repairChains, withRange} from './repair_chains.js';
+import {
+  coversModel,
+  repairChains,
+  withRange,
+  type RepairInput,
+  type UnharmedChains,
+} from './repair_chains.js';
 
 /**
  * Returns `previous` itself if nothing changes, otherwise a plan with the next
@@ -109,33 +115,54 @@
     options,
     ids,
   );
-  return replaceSlowStages(result, current, model, linkTimeMs, options);
+  return replaceSlowStages({
+    chains: result,
+    servers: current,
+    model,
+    linkTimeMs,
+    options,
+    unharmed: findUnharmed(previousChains, result, current, model),
+  });
 }
 
 /** Bounds the rounds of replacing slow stages in one planning run. */
 const MAX_REPLACEMENT_ROUNDS = 3;
 
 /**
- * Replaces slow stages of new chains until nothing changes. Otherwise the next
- * planning run would replace them, and an unrelated event such as the loss of
- * another server would change these chains.
+ * Replaces slow stages of new and repaired chains until nothing changes.
+ * Otherwise the next planning run would replace them, and an unrelated event
+ * such as the loss of another server would change these chains.
  */
-function replaceSlowStages(
-  formed: readonly Chain[],
-  servers: readonly EngineServer[],
-  model: PlacementModel,
-  linkTimeMs: LinkTime,
-  options: PlanningOptions,
-): Chain[] {
-  let chains = [...formed].sort((a, b) => compareIds(a.chain, b.chain));
+function replaceSlowStages(input: RepairInput): Chain[] {
+  let chains = [...input.chains].sort((a, b) => compareIds(a.chain, b.chain));
   for (let round = 0; round < MAX_REPLACEMENT_ROUNDS; round++) {
-    const next = repairChains({chains, servers, model, linkTimeMs, options});
+    const next = repairChains({...input, chains});
     if (JSON.stringify(next) === JSON.stringify(chains)) break;
     chains = next;
   }
   return chains;
 }
 
+/** Finds the chains that lost no server and were not rebuilt. */
+function findUnharmed(
+  previous: readonly Chain[],
+  planned: readonly Chain[],
+  servers: readonly EngineServer[],
+  model: PlacementModel,
+): UnharmedChains {
+  const live = new Set(servers.map(({server}) => server));
+  const plannedIds = new Set(planned.map(({chain}) => chain));
+  const isUnharmed = ({chain, stages}: Chain) =>
+    plannedIds.has(chain) &&
+    coversModel(stages, model) &&
+    stages.every(({server}) => live.has(server));
+  const harmed = previous.filter(chain => !isUnharmed(chain));
+  return {
+    chains: new Set(previous.filter(isUnharmed).map(({chain}) => chain)),
+    releasedServers: new Set(harmed.flatMap(c => c.stages.map(serverOf))),
+  };
+}
+
 function rebuildInefficientChains(
   chains: Chain[],
   servers: readonly EngineServer[],
--- a/packages/core/src/core/placement/repair_chains.ts
+++ b/packages/core/src/core/placement/repair_chains.ts
@@ -1,5 +1,5 @@
 /** Keeps the chains of the previous plan and replaces their lost stages. */
-import type {ServerId} from '../ids/ids.js';
+import type {ChainId, ServerId} from '../ids/ids.js';
 import type {Chain, ChainStage} from '../wire/messages.js';
 import {toStage} from './form_chains.js';
 import {
@@ -15,13 +15,27 @@
 } from './placement_types.js';
 
 export interface RepairInput {
-  /** Chains of the model in the previous plan. */
+  /** Chains of the model, in the previous plan or as planned so far. */
   readonly chains: readonly Chain[];
   /** Live servers assigned to the model. */
   readonly servers: readonly EngineServer[];
   readonly model: PlacementModel;
   readonly linkTimeMs: LinkTime;
   readonly options: PlanningOptions;
+  /** Limits the replacement of slow stages; without it any spare may be used. */
+  readonly unharmed?: UnharmedChains;
+}
+
+/**
+ * Chains that no loss concerns. They do not take the servers that losses and
+ * rebuilds release in the same planning run: the swap would discard the caches
+ * of their sequences while they also take over those of the broken chains, and
+ * a server that restarts would find its chain taken apart.
+ */
+export interface UnharmedChains {
+  readonly chains: ReadonlySet<ChainId>;
+  /** Servers of all other chains of the previous plan. */
+  readonly releasedServers: ReadonlySet<ServerId>;
 }
 
 /** Returns the chains that survive, with their ids and ranges unchanged. */
@@ -52,10 +66,11 @@
    * their remaining servers repair other chains.
    */
   run(): Chain[] {
+    const {model} = this.input;
     const broken: Chain[] = [];
     const result: Chain[] = [];
     for (const chain of this.input.chains) {
-      if (!this.coversModel(chain)) broken.push(chain);
+      if (!coversModel(chain.stages, model)) broken.push(chain);
       else if (this.countLost(chain) > 0) broken.push(chain);
       else result.push(this.replaceSlowStage(this.refreshAddresses(chain)));
     }
@@ -65,17 +80,14 @@
     );
     while (broken.length > 0) {
       const chain = broken.shift()!;
-      const repaired = this.coversModel(chain) && this.repair(chain, broken);
+      const repaired =
+        coversModel(chain.stages, model) && this.repair(chain, broken);
       if (repaired) result.push(repaired);
       else this.dissolve(chain);
     }
     return result.sort((a, b) => compareIds(a.chain, b.chain));
   }
 
-  private coversModel(chain: Chain): boolean {
-    return chain.stages.at(-1)?.endLayer === this.input.model.layers;
-  }
-
   private countLost(chain: Chain): number {
     return chain.stages.filter(stage => !this.liveServers.has(stage.server))
       .length;
@@ -196,7 +208,9 @@
     const stage = chain.stages[index];
     const count = stage.endLayer - stage.firstLayer;
     const fast = [...this.spares.values()].filter(
-      spare => count * spare.engine.layerMs * minSlowdownToReplace <= slowestMs,
+      spare =>
+        this.mayTake(chain, spare) &&
+        count * spare.engine.layerMs * minSlowdownToReplace <= slowestMs,
     );
     const spare = this.pickSpare(fast, chain.stages, index);
     if (!spare) return chain;
@@ -208,6 +222,12 @@
     return {...chain, stages};
   }
 
+  private mayTake({chain}: Chain, {server}: EngineServer): boolean {
+    const {unharmed} = this.input;
+    if (!unharmed?.chains.has(chain)) return true;
+    return !unharmed.releasedServers.has(server);
+  }
+
   /** A holder of the range, otherwise an empty server with enough memory. */
   private pickSpare(
     spares: readonly EngineServer[],
@@ -242,6 +262,14 @@
   }
 }
 
+/** Whether the stages end at the last layer of the model. */
+export function coversModel(
+  stages: readonly ChainStage[],
+  {layers}: PlacementModel,
+): boolean {
+  return stages.at(-1)?.endLayer === layers;
+}
+
 function holds(server: EngineServer, range: LayerRange): boolean {
   return holdsLayers(server) && rangeKey(server.engine) === rangeKey(range);
 }
--- a/packages/core/test/placement_test.ts
+++ b/packages/core/test/placement_test.ts
@@ -86,6 +86,19 @@
 const rangesOf = ({chains}: Plan) =>
   chains.map(c => c.stages.map(s => `${s.server}:${s.firstLayer}`).join(' '));
 
+/** A server that holds the half of the model that starts at a layer. */
+const createHalf = (name: string, firstLayer: number, layerMs = 1) =>
+  createEngine(name, {firstLayer, endLayer: firstLayer + 6, layerMs});
+
+/** Returns a plan with one chain for each pair of servers, and the servers. */
+function planPairs(pairs: readonly (readonly ServerRegistration[])[]) {
+  const chains = pairs
+    .flatMap(pair => plan(pair).chains)
+    .sort((a, b) => (a.chain < b.chain ? -1 : 1));
+  const before: Plan = {...plan([]), chains};
+  return {servers: pairs.flat(), before};
+}
+
 describe('placement', () => {
   describe('splitLayers', () => {
     it('finds the same slowest stage as a search over all splits', () => {
@@ -129,6 +142,30 @@
       fc.assert(property, {seed, numRuns: 100});
     });
 
+    // Guards against a loss that changes chains other than the broken one: a
+    // member of the dissolved chain replaced the slow stage of another.
+    it('gives no member of a dissolved chain to a chain without a loss', () => {
+      const {servers, before} = planPairs([
+        [createHalf('s1', 0), createHalf('s2', 6, 4)],
+        [createHalf('s3', 0), createHalf('s4', 6)],
+      ]);
+      const rest = servers.filter(({server}) => server !== 's3');
+      expect(rangesOf(plan(rest, before))).toEqual(['s1:0 s2:6']);
+    });
+
+    // Guards against a loss that changes chains other than the broken ones: a
+    // repaired chain released a stage, which a chain without a loss then took.
+    it('gives no stage of a repaired chain to a chain without a loss', () => {
+      const {servers, before} = planPairs([
+        [createHalf('s1', 0), createHalf('s2', 6, 9)],
+        [createHalf('s3', 0), createHalf('s4', 6, 4)],
+        [createHalf('s5', 0), createHalf('s6', 6)],
+      ]);
+      const rest = servers.filter(s => s.server !== 's3' && s.server !== 's5');
+      const after = plan([...rest, createHalf('s7', 0)], before);
+      expect(rangesOf(after).sort()).toEqual(['s1:0 s2:6', 's7:0 s6:6']);
+    });
+
     it('returns the previous plan when nothing changes', () => {
       const servers = [createEngine('s1'), createEngine('s2')];
       const before = plan(servers);
