Give a hint for times in the unit hour

Seen: `deadline_ms = "1hour"` was reported without the value to write, where "1hours" and "1minute" get one. Cause: the table of units lists the singular of all units but this one. Change: the singular is listed.

--- a/packages/core/src/core/configuration/suggestions.ts
+++ b/packages/core/src/core/configuration/suggestions.ts
@@ -16,6 +16,7 @@
   minute: 60_000,
   minutes: 60_000,
   h: 3_600_000,
+  hour: 3_600_000,
   hours: 3_600_000,
 };
 
--- a/packages/core/test/operator_config_test.ts
+++ b/packages/core/test/operator_config_test.ts
@@ -95,6 +95,8 @@
   badInput('seconds', [DEADLINE, 'deadline_s = 30'], 10, 'services.chat.deadline_s', 'deadline_ms = 30000'),
   badInput('no unit', [DEADLINE, 'deadline = "30s"'], 10, 'services.chat.deadline', 'deadline_ms = 30000'),
   badInput('unit in text', [DEADLINE, 'deadline_ms = "30s"'], 10, DEADLINE_KEY, 'deadline_ms = 30000'),
+  // Guards against a missing hint: only the plural of this unit was known.
+  badInput('hour in text', [DEADLINE, 'deadline_ms = "1hour"'], 10, DEADLINE_KEY, 'deadline_ms = 3600000'),
   badInput('fraction of ms', [DEADLINE, 'deadline_ms = 0.5'], 10, DEADLINE_KEY, '0.5 s is 500'),
   badInput('gigabytes', ['= 1000', '= "1.5GB"'], 5, 'models.large.bytes_per_layer', '1500000000'),
   badInput('other unit of bytes', ['bytes_per_layer = 1000', 'gb_per_layer = 2'], 5, 'models.large.gb_per_layer', 'bytes_per_layer = 2000000000'),
