Send nothing for callers that have closed behind their request

On a busy host a request waits unread until its caller has given up.

The gateway lets the event loop poll its sockets once more before it starts a request, and drops it if its caller has closed.

--- a/packages/forwarding/src/core/gateway/caller_exchange.ts
+++ b/packages/forwarding/src/core/gateway/caller_exchange.ts
@@ -42,7 +42,9 @@
 
   /** Whether the caller closed the connection before the response ended. */
   get isDisconnected(): boolean {
-    return this.res.destroyed && !this.res.writableFinished;
+    const {req, res} = this;
+    const isClosing = res.destroyed || req.socket?.readableEnded === true;
+    return isClosing && !res.writableFinished;
   }
 
   logFields(): LogFields {
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -118,6 +118,15 @@
         read.kind === 'late' ? 'request_timeout' : 'body_too_large';
       return options.refusals.refuse(exchange, refuse(reason, 'accept'));
     }
+    await nextPoll();
+    if (exchange.isDisconnected) {
+      return options.calls.logger.info(
+        'caller left before its request was read',
+        {
+          ...exchange.logFields(),
+        },
+      );
+    }
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
       route.timeoutMs,
@@ -208,6 +217,15 @@
   }
 }
 
+/**
+ * Resolves after the event loop has polled its sockets once more. On a busy host
+ * a request may wait unread until its caller has closed the connection; the
+ * close is then read only after the request.
+ */
+function nextPoll(): Promise<void> {
+  return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 function hasBody(req: IncomingMessage): boolean {
   const {headers} = req;
   return (
