Reduce the admission rate meter to what is used

The tokens of the measured rate were no longer read, and admissions beyond the window were dropped only when a request was refused.

--- a/packages/forwarding/src/core/admission/admission_rate_meter.ts
+++ b/packages/forwarding/src/core/admission/admission_rate_meter.ts
@@ -20,11 +20,6 @@
   readonly costTokens: number;
 }
 
-export interface AdmissionRate {
-  readonly tokensPerMs: number;
-  readonly requestsPerMs: number;
-}
-
 export class AdmissionRateMeter {
   private recentAdmissions: Admission[] = [];
   private measuringSinceMs: number | undefined;
@@ -45,22 +40,11 @@
     this.recentAdmissions.push({atMs: nowMs, costTokens});
   }
 
-  /** Returns undefined if not measuring, or not for long enough yet. */
-  rate(nowMs: number): AdmissionRate | undefined {
-    if (this.measuringSinceMs === undefined) return undefined;
-    const spanMs = Math.min(WINDOW_MS, nowMs - this.measuringSinceMs);
-    if (spanMs < MIN_SPAN_MS) return undefined;
-    this.recentAdmissions = this.recentAdmissions.filter(
-      a => nowMs - a.atMs < WINDOW_MS,
-    );
-    const tokens = this.recentAdmissions.reduce(
-      (sum, a) => sum + a.costTokens,
-      0,
-    );
-    return {
-      tokensPerMs: tokens / spanMs,
-      requestsPerMs: this.recentAdmissions.length / spanMs,
-    };
+  /** Requests admitted a millisecond; 0 if too little was measured yet. */
+  requestsPerMs(nowMs: number): number {
+    const spanMs = this.measuredSpanMs(nowMs);
+    if (spanMs < MIN_SPAN_MS) return 0;
+    return this.admissionsInWindow(nowMs).length / spanMs;
   }
 
   /**
@@ -75,11 +59,21 @@
   ): number {
     const priorTokens = PRIOR_REQUESTS * requestTokens;
     const priorMs = priorTokens / expectedTokensPerMs;
-    if (this.measuringSinceMs === undefined) return priorTokens / priorMs;
-    const spanMs = Math.min(WINDOW_MS, nowMs - this.measuringSinceMs);
-    const tokens = this.recentAdmissions
-      .filter(({atMs}) => nowMs - atMs < WINDOW_MS)
-      .reduce((sum, {costTokens}) => sum + costTokens, 0);
-    return (tokens + priorTokens) / (spanMs + priorMs);
+    const tokens = this.admissionsInWindow(nowMs).reduce(
+      (sum, {costTokens}) => sum + costTokens,
+      0,
+    );
+    return (tokens + priorTokens) / (this.measuredSpanMs(nowMs) + priorMs);
+  }
+
+  private measuredSpanMs(nowMs: number): number {
+    return Math.min(WINDOW_MS, nowMs - (this.measuringSinceMs ?? nowMs));
+  }
+
+  private admissionsInWindow(nowMs: number): readonly Admission[] {
+    this.recentAdmissions = this.recentAdmissions.filter(
+      ({atMs}) => nowMs - atMs < WINDOW_MS,
+    );
+    return this.recentAdmissions;
   }
 }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -217,7 +217,7 @@
 
   private refuse(item: WaitingRequest, reason: RefusalReason): void {
     const nowMs = this.options.nowMs();
-    const requestsPerMs = this.rateMeter.rate(nowMs)?.requestsPerMs ?? 0;
+    const requestsPerMs = this.rateMeter.requestsPerMs(nowMs);
     const leftMs = item.deadlineAtMs - nowMs;
     item.refuse(
       reason,
