Test that streams outlast the silence of their servers

A sound server may also fall silent for a second or so and go on.

The tests cover four ways in which streams were lost, and their opposites: a server whose answer is truly lost is still left in time, also after a common silence; a chain or the retry budget that a stream cannot use holds back no new request.

--- /dev/null
+++ b/packages/forwarding/test/interrupted_streams_test.ts
@@ -0,0 +1,121 @@
+/**
+ * Interrupted streams and new requests that compete for free KV-cache tokens,
+ * at one entry and at several that report to each other.
+ */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {FakeResponse, RelayHarness, requestOf} from './relay_harness.js';
+
+const FAILURE = {cause: 'reset', mayHaveRun: true};
+
+/** Tokens that each stream of the harness uses. */
+const STREAM_TOKENS = 785;
+
+/** Starts a stream that loses its server while all tokens are in use. */
+function interrupt(harness: RelayHarness): void {
+  harness.receiveHead();
+  harness.receiveEvents(1);
+  harness.useAllTokens();
+  harness.lastSent.handlers.onFailure(FAILURE);
+}
+
+/** An entry with a queued request of the most urgent rank. */
+function entryWithQueuedRequest(): RelayHarness {
+  const harness = new RelayHarness();
+  harness.useAllTokens();
+  startNew(harness);
+  return harness;
+}
+
+function startNew(harness: RelayHarness): FakeResponse {
+  const res = new FakeResponse();
+  harness.startStream({}, [], res, {request: 'new'});
+  return res;
+}
+
+/** Leaves tokens for one more stream on one chain of an entry. */
+function freeOnePlace(harness: RelayHarness): void {
+  const [{path}] = harness.admission.currentChains();
+  harness.leaveTokens(path[0].server.address, STREAM_TOKENS);
+}
+
+/** Makes entries learn what waits at the other one. */
+function exchangeQueues(a: RelayHarness, b: RelayHarness): void {
+  a.peerQueues.setQueues('b', [b.admission.queues()], a.nowMs);
+  b.peerQueues.setQueues('a', [a.admission.queues()], b.nowMs);
+}
+
+function lastRequest(harness: RelayHarness): string {
+  return requestOf(harness.lastSent);
+}
+
+describe('interrupted streams', () => {
+  // Guards against starvation: under overload, new requests take each token
+  // that becomes free, and streams with most of their work done get none until
+  // their callers leave (incident LOST).
+  describe('go before new requests of any rank', () => {
+    it('of their own entry', async () => {
+      const harness = new RelayHarness();
+      interrupt(harness);
+      startNew(harness);
+      expect(harness.admission.size).toEqual(1);
+      freeOnePlace(harness);
+      harness.admission.processQueue();
+      await harness.advance(50);
+      expect(harness.upstream.sent.map(requestOf)).toEqual(['r1', 'r1']);
+      harness.freeAllTokens();
+      await harness.advance(50);
+      expect(lastRequest(harness)).toEqual('new');
+    });
+
+    it('of other entries', async () => {
+      const [a, b] = [new RelayHarness(), entryWithQueuedRequest()];
+      interrupt(a);
+      exchangeQueues(a, b);
+      for (const entry of [b, a]) freeOnePlace(entry);
+      b.admission.processQueue();
+      await b.advance(50);
+      expect(lastRequest(b)).not.toEqual('new');
+      await a.advance(50);
+      expect(a.upstream.sent.length).toEqual(2);
+      exchangeQueues(a, b);
+      await b.advance(50);
+      expect(lastRequest(b)).toEqual('new');
+    });
+  });
+
+  // Guards against tokens that are kept for streams that cannot use them.
+  describe('leave tokens to new requests that they cannot use', () => {
+    it('while they wait for the retry budget', async () => {
+      const harness = new RelayHarness();
+      harness.useAllRetries();
+      interrupt(harness);
+      startNew(harness);
+      freeOnePlace(harness);
+      await harness.advance(50);
+      expect(lastRequest(harness)).toEqual('new');
+    });
+
+    for (const [name, setUp] of [
+      ['at their own entry', undefined],
+      ['at other entries', entryWithQueuedRequest],
+    ] as const) {
+      it(`on chains that they may not use, ${name}`, async () => {
+        const harness = new RelayHarness({maxAttempts: 1});
+        const own = harness.lastSent.request.address;
+        interrupt(harness);
+        const entry = setUp?.() ?? harness;
+        if (entry === harness) startNew(harness);
+        else exchangeQueues(harness, entry);
+        const other = entry.admission
+          .currentChains()
+          .map(({path}) => path[0].server.address)
+          .find(first => first !== own);
+        entry.leaveTokens(other ?? own, STREAM_TOKENS);
+        entry.admission.processQueue();
+        await entry.advance(50);
+        expect(lastRequest(entry)).toEqual('new');
+      });
+    }
+  });
+});
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -484,17 +484,16 @@
   leaveTokens(first: ServerAddress, freeTokens: number): void {
     const used = this.admission.currentChains().map(chain => {
       const {address} = chain.path[0].server;
-      const isFree = address === first;
-      const unused = isFree ? this.loads.unusedTokens(chain, this.nowMs) : 0;
-      const left = isFree ? Math.min(freeTokens, unused) : 0;
-      return [address, this.admissibleTokens(chain) - left];
+      const unusedTokens = this.unusedTokens(chain);
+      const left = address === first ? Math.min(freeTokens, unusedTokens) : 0;
+      return [address, unusedTokens - left];
     });
     const atMs = this.nowMs + 10_000;
     this.loads.setPeerUsage('peer', Object.fromEntries(used), atMs);
   }
 
-  /** Tokens of a chain that may be in use, beside those of this entry. */
-  private admissibleTokens({path, capacityTokens}: ServerChain): number {
+  /** Admissible tokens of a chain that this entry does not use. */
+  private unusedTokens({path, capacityTokens}: ServerChain): number {
     const {address} = path[0].server;
     const own = this.loads.ownUsedTokens()[address] ?? 0;
     return capacityTokens * ADMISSIBLE_CAPACITY_FRACTION - own;
@@ -540,9 +539,12 @@
     this.receiveEventsOf(this.lastSent, ...ids);
   }
 
-  receiveEventsOf({handlers}: SentRequest, ...ids: number[]): void {
-    for (const id of ids)
-      handlers.onData(Buffer.from(`id: ${id}\ndata: t${id}\n\n`));
+  /** Nothing arrives for a request that was aborted. */
+  receiveEventsOf(sent: SentRequest, ...ids: number[]): void {
+    for (const id of ids) {
+      if (sent.isAborted) return;
+      sent.handlers.onData(Buffer.from(`id: ${id}\ndata: t${id}\n\n`));
+    }
   }
 
   /**
--- /dev/null
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -0,0 +1,236 @@
+/** Streams whose servers, or whose chains, are silent for a while. */
+import {describe, it} from 'node:test';
+import type {ServerAddress} from '@azurecrank/forwarding';
+import {expect} from 'earl';
+import {
+  FakeResponse,
+  RelayHarness,
+  flushPromises,
+  type SentRequest,
+} from './relay_harness.js';
+
+const FAILURE = {cause: 'reset', mayHaveRun: true};
+
+/** Time limit of the harness's callers. */
+const DEADLINE_MS = 20_000;
+
+/** A server may fall silent for about as long and go on. */
+const SILENCES_MS = [1200, 1800];
+
+function eventIds({body}: FakeResponse): number[] {
+  return [...body.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+}
+
+/** Starts a stream on the chain of a first server; returns its response. */
+function startOn(
+  harness: RelayHarness,
+  first: ServerAddress,
+  request: string,
+): FakeResponse {
+  const res = new FakeResponse();
+  harness.leaveTokens(first, 10_000);
+  harness.startStream({}, [], res, {request});
+  harness.freeAllTokens();
+  return res;
+}
+
+/** First server of another chain than that of the request. */
+function otherFirst(harness: RelayHarness, {request}: SentRequest) {
+  const firsts = harness.admission
+    .currentChains()
+    .map(({path}) => path[0].server.address);
+  const other = firsts.find(first => first !== request.address);
+  if (!other) throw new Error('there is only one chain');
+  return other;
+}
+
+/** Three streams on one chain that have had their first event. */
+class SharedChain {
+  readonly harness = new RelayHarness();
+  readonly first = this.harness.lastSent.request.address;
+  readonly responses = [
+    this.harness.res,
+    startOn(this.harness, this.first, 'r2'),
+    startOn(this.harness, this.first, 'r3'),
+  ];
+  readonly sent = ['r1', 'r2', 'r3'].map(id => this.harness.sentFor(id)[0]);
+
+  constructor() {
+    const {harness, sent} = this;
+    for (const request of sent) {
+      harness.receiveHeadOf(request);
+      harness.receiveEventsOf(request, 1);
+    }
+  }
+
+  /** Lets time pass while only the given streams have events. */
+  async advance(durationMs: number, active: SentRequest[] = []): Promise<void> {
+    const {harness} = this;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
+      await harness.advance(50);
+      for (const sent of active)
+        harness.receiveEventsOf(sent, this.nextId(sent));
+    }
+  }
+
+  private nextId(sent: SentRequest): number {
+    const ids = eventIds(this.responses[this.sent.indexOf(sent)]);
+    return ids[ids.length - 1] + 1;
+  }
+}
+
+describe('streams of a sound server that falls silent', () => {
+  for (const silenceMs of SILENCES_MS) {
+    // Guards against a second run of all streams of a server when the first of
+    // them goes on after a common silence (incident LOST).
+    it(`complete on it in order after ${silenceMs} ms`, async () => {
+      const chain = new SharedChain();
+      const {harness, sent, responses} = chain;
+      await chain.advance(silenceMs);
+      for (const request of sent) {
+        harness.receiveEventsOf(request, 2);
+        await harness.advance(50);
+      }
+      for (const {handlers} of sent) handlers.onEnd();
+      await flushPromises();
+      expect(sent.map(({isAborted}) => isAborted)).toEqual(
+        sent.map(() => false),
+      );
+      expect(harness.upstream.sent.length).toEqual(3);
+      expect(responses.map(eventIds)).toEqual([
+        [1, 2],
+        [1, 2],
+        [1, 2],
+      ]);
+      expect(responses.every(r => r.writableFinished)).toEqual(true);
+    });
+  }
+
+  // Guards against a stream that is lost in the silence and waits for ever.
+  it('leave it if it goes on without them', async () => {
+    const chain = new SharedChain();
+    const {harness, sent} = chain;
+    await chain.advance(1200);
+    await chain.advance(1500, sent.slice(1));
+    expect(sent.map(({isAborted}) => isAborted)).toEqual([true, false, false]);
+    expect(harness.sentFor('r1').length).toEqual(2);
+  });
+});
+
+describe('a stream that stalls while others of its server go on', () => {
+  // Guards against waiting for an answer that the server ran and that is lost.
+  it('leaves the server before its caller leaves', async () => {
+    const chain = new SharedChain();
+    const {harness, sent} = chain;
+    await chain.advance(1500, sent.slice(1));
+    expect(sent.map(({isAborted}) => isAborted)).toEqual([true, false, false]);
+    expect(harness.sentFor('r1').length).toEqual(2);
+  });
+
+  // Guards against giving up a path when no other can be had (incident LOST).
+  it('stays until another chain can take it', async () => {
+    const chain = new SharedChain();
+    const {harness, sent} = chain;
+    harness.leaveTokens(chain.first, 0);
+    await chain.advance(1900, sent.slice(1));
+    expect(sent[0].isAborted).toEqual(false);
+    harness.freeAllTokens();
+    await chain.advance(100, sent.slice(1));
+    expect(sent[0].isAborted).toEqual(true);
+    expect(harness.sentFor('r1').length).toEqual(2);
+  });
+});
+
+describe('a resumed stream', () => {
+  // Guards against a third run because the second one still waits in the queue
+  // of its server, or reads the prompt again (incident LOST).
+  it('awaits its first event on the new path', async () => {
+    const harness = new RelayHarness();
+    const {lastSent: lost} = harness;
+    const next = otherFirst(harness, lost);
+    const others = ['r2', 'r3'].map(id => {
+      startOn(harness, next, id);
+      harness.receiveHead();
+      harness.receiveEvents(1);
+      return harness.lastSent;
+    });
+    harness.receiveHeadOf(lost);
+    harness.receiveEventsOf(lost, 1, 2);
+    harness.leaveTokens(next, 10_000);
+    lost.handlers.onFailure(FAILURE);
+    harness.freeAllTokens();
+    const {lastSent: resumed} = harness;
+    harness.receiveHeadOf(resumed);
+    for (let id = 2; id < 32; id++) {
+      await harness.advance(50);
+      for (const other of others) harness.receiveEventsOf(other, id);
+    }
+    expect(resumed.request.address).toEqual(next);
+    expect(resumed.isAborted).toEqual(false);
+    harness.receiveEventsOf(resumed, 3);
+    expect(eventIds(harness.res)).toEqual([1, 2, 3]);
+    expect(harness.sentFor('r1').length).toEqual(2);
+  });
+});
+
+describe('a stream that lost its server', () => {
+  /** Starts a stream and loses its server while all tokens are in use. */
+  async function waitWithoutTokens(durationMs: number): Promise<RelayHarness> {
+    const harness = new RelayHarness();
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    harness.useAllTokens();
+    harness.lastSent.handlers.onFailure(FAILURE);
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 500) {
+      harness.useAllTokens();
+      await harness.advance(500);
+    }
+    return harness;
+  }
+
+  // Guards against an entry that ends streams by their silence while caller and
+  // route still wait (incident LOST).
+  it('waits for free tokens until shortly before its time limit', async () => {
+    const harness = await waitWithoutTokens(DEADLINE_MS - 500);
+    expect(harness.res.destroyed).toEqual(false);
+    harness.freeAllTokens();
+    await harness.advance(50);
+    harness.receiveHead();
+    harness.receiveEvents(2);
+    expect(eventIds(harness.res)).toEqual([1, 2]);
+  });
+
+  it('is cut at its time limit', async () => {
+    const harness = await waitWithoutTokens(DEADLINE_MS);
+    expect(harness.res.destroyed).toEqual(true);
+    const [line] = harness.linesOf('stream cut');
+    expect(line.endedBy).toEqual('deadline');
+  });
+
+  it('is sent nowhere after its caller has left', async () => {
+    const harness = await waitWithoutTokens(3000);
+    expect(harness.res.destroyed).toEqual(false);
+    harness.res.destroy();
+    harness.freeAllTokens();
+    await harness.advance(500);
+    expect(harness.upstream.sent.length).toEqual(1);
+  });
+
+  // Guards against an end because the silence of two paths adds up to more than
+  // a caller usually waits (incident LOST).
+  it('continues after it has lost a second silent server', async () => {
+    const harness = new RelayHarness();
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    harness.lastSent.handlers.onFailure(FAILURE);
+    harness.receiveHead();
+    await harness.advance(1900);
+    harness.lastSent.handlers.onFailure(FAILURE);
+    await harness.advance(50);
+    expect(harness.res.destroyed).toEqual(false);
+    expect(harness.upstream.sent.length).toEqual(3);
+    harness.receiveHead();
+    harness.receiveEvents(2);
+    expect(eventIds(harness.res)).toEqual([1, 2]);
+  });
+});
