End started streams at their time limit, not by their silence

Callers of resumable streams lost their connection in the middle of the answer although caller and route allowed far more time: 1,850 ms after the last event when a path was lost or no chain had free KV-cache tokens.

The entry counted the silence since the last event against the time after which callers leave by themselves, 150 ms less. Two paths in a row whose silence added up to that ended a stream, and so did an overloaded fleet. The clock is gone: a started stream ends if it may not be resumed, if its attempts are used up, at the time limit of caller or route, or when its caller leaves. The reason `caller_idle` goes with it.

The clock was there because a caller whose connection is closed may come back with Last-Event-Id, and one that left by itself does not. Such a caller comes back as a new request into the same shortage of tokens, so the early close can save an answer only if another entry has a place at that moment; and callers that would have waited lose theirs.

--- a/packages/core/src/core/errors/stream_cut_reasons.ts
+++ b/packages/core/src/core/errors/stream_cut_reasons.ts
@@ -6,8 +6,6 @@
   'attempts',
   /** The time limit of its caller or route has passed. */
   'deadline',
-  /** It had no event for about as long as callers wait for one. */
-  'caller_idle',
   /** Its prompt is known to end servers. */
   'quarantined',
 ] as const;
--- a/packages/forwarding/src/core/relay/decide_stream.ts
+++ b/packages/forwarding/src/core/relay/decide_stream.ts
@@ -1,6 +1,5 @@
 /** Decides what follows when a stream has lost its server. Pure. */
 import type {StreamCutReason} from '@azurecrank/core';
-import type {Route} from '../routing/routing_table.js';
 
 export interface StreamState {
   readonly isResumable: boolean;
@@ -14,10 +13,6 @@
   readonly remainingMs: number;
   /** Whether the retry budget allows another attempt. */
   readonly hasRetryBudget: boolean;
-  /** Time since the last event. */
-  readonly silentMs: number;
-  /** Time without an event after which the stream is ended. */
-  readonly callerIdleTimeoutMs: number;
 }
 
 export type StreamDecision =
@@ -34,47 +29,17 @@
 
 const MAX_ATTEMPTS = 6;
 
-/** Minimum time that callers wait for an event (users' protocol). */
-const MIN_CALLER_IDLE_TIMEOUT_MS = 2000;
-
-/** Callers also wait for this many latency targets (users' protocol). */
-const IDLE_TIMEOUT_LATENCY_TARGETS = 4;
-
-/** Callers also wait for this many pause targets (users' protocol). */
-const IDLE_TIMEOUT_PAUSE_TARGETS = 8;
-
-/** Time for the end of the response to reach the caller. */
-const IDLE_TIMEOUT_MARGIN_MS = 150;
-
-/**
- * Returns the time without an event after which a stream is ended. It is
- * slightly shorter than the time after which the caller disconnects: a caller
- * whose connection is closed may reconnect for the remaining events, one that
- * has disconnected does not.
- */
-export function callerIdleTimeoutMs({
-  latencyTargetMs,
-  pauseTargetMs,
-}: Pick<Route, 'latencyTargetMs' | 'pauseTargetMs'>): number {
-  const timeoutMs = Math.max(
-    MIN_CALLER_IDLE_TIMEOUT_MS,
-    IDLE_TIMEOUT_LATENCY_TARGETS * latencyTargetMs,
-    IDLE_TIMEOUT_PAUSE_TARGETS * pauseTargetMs,
-  );
-  return timeoutMs - IDLE_TIMEOUT_MARGIN_MS;
-}
-
 /** With less time until the deadline, no first event can arrive in time. */
 const MIN_REMAINING_MS = 100;
 
+/**
+ * A started stream ends only at a limit, however long its servers are silent:
+ * its caller leaves by itself when it has waited long enough.
+ */
 export function decideStream(state: StreamState): StreamDecision {
   const limit = exceededLimit(state);
-  if (state.isHeadSent) {
-    if (limit) return {kind: 'cut', endedBy: limit};
-    if (state.silentMs >= state.callerIdleTimeoutMs)
-      return {kind: 'cut', endedBy: 'caller_idle'};
-    return {kind: 'resume'};
-  }
+  if (state.isHeadSent)
+    return limit ? {kind: 'cut', endedBy: limit} : {kind: 'resume'};
   if (!limit && state.hasRetryBudget) return {kind: 'queue_again'};
   return {kind: state.mayHaveRun ? 'fail' : 'refuse'};
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -45,7 +45,6 @@
 } from './check_response.js';
 import {
   allowedFirstServers,
-  callerIdleTimeoutMs,
   decideStream,
   type StreamDecision,
 } from './decide_stream.js';
@@ -228,7 +227,7 @@
       return this.handleDeadline();
     }
     if (this.promptGuard.shouldStopRun) return this.endQuarantined();
-    if (this.waitingSinceMs !== undefined) return this.retryResume(nowMs);
+    if (this.waitingSinceMs !== undefined) return this.retryResume();
     if (this.path.length === 0 || this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
@@ -265,12 +264,8 @@
     if (silentMs >= thresholdMs) failureDetector.queryServer(first);
   }
 
-  /** Tries to resume a started stream until the caller would disconnect. */
-  private retryResume(nowMs: number): void {
-    const silentMs = nowMs - this.lastEventAtMs;
-    if (silentMs > callerIdleTimeoutMs(this.accepted.route)) {
-      return this.endIncomplete({kind: 'cut', endedBy: 'caller_idle'});
-    }
+  /** Tries again to resume a started stream. */
+  private retryResume(): void {
     // A chain that failed this stream before may have recovered.
     this.failedFirstServers.clear();
     this.resume();
@@ -536,8 +531,6 @@
       attempts: this.attempts - this.refusedAttempts,
       remainingMs: this.accepted.deadlineAtMs - now,
       hasRetryBudget: availableRetries >= 1,
-      silentMs: now - this.lastEventAtMs,
-      callerIdleTimeoutMs: callerIdleTimeoutMs(this.accepted.route),
     });
     const reason = this.retryReason(isRefusal);
     this.releaseReservation();
