Count a common silence of a server's streams against none of them

After a sound server had been silent for 1.3 s, the first of its streams that went on took the server from all others: in the same check they counted as stalled while other streams have events. All of them were run a second time elsewhere at once, against the retry budget, or waited for chains.

A stream is now given up only after others of its server have had events for 400 ms. A stream whose answer is lost in the silence is still given up, by a test that passed before as well.

The tests with 1.2 and 1.8 s of silence failed before, with one and two of three streams aborted, and pass now; stream_relay (26) passes.

--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -66,12 +66,18 @@
 /** A first server counts as active for this time after an event. */
 const ACTIVE_MS = 400;
 
+/** A time in which events of a first server were at most `ACTIVE_MS` apart. */
+interface ActiveSpan {
+  readonly sinceMs: number;
+  lastEventAtMs: number;
+}
+
 export class PathFailureDetector {
   private readonly lastQueryAtMs = new Map<ServerAddress, number>();
   private readonly lastPathProbeAtMs = new Map<ServerAddress, number>();
   private readonly lastSlowPathQueryAtMs = new Map<ServerAddress, number>();
   private readonly eventIntervals = new EventIntervalMonitor();
-  private readonly lastEventAtMs = new Map<ServerAddress, number>();
+  private readonly activeSpans = new Map<ServerAddress, ActiveSpan>();
   private readonly endedQueries = new Map<
     ServerAddress,
     {readonly atMs: number; readonly hasEnded: Promise<boolean>}
@@ -81,7 +87,10 @@
 
   /** Records an event of a stream whose path begins at this server. */
   recordEvent(first: ServerAddress, nowMs: number): void {
-    this.lastEventAtMs.set(first, nowMs);
+    const span = this.activeSpans.get(first);
+    const isSameSpan = span && nowMs - span.lastEventAtMs < ACTIVE_MS;
+    if (isSameSpan) span.lastEventAtMs = nowMs;
+    else this.activeSpans.set(first, {sinceMs: nowMs, lastEventAtMs: nowMs});
   }
 
   /**
@@ -103,9 +112,14 @@
     }
   }
 
-  /** Whether a stream whose path begins at this server had an event lately. */
-  hasRecentEvent(first: ServerAddress, nowMs: number): boolean {
-    return nowMs - (this.lastEventAtMs.get(first) ?? -Infinity) < ACTIVE_MS;
+  /**
+   * Time for which streams whose paths begin at this server have had events
+   * without a long pause; 0 if none had one lately.
+   */
+  activeForMs(first: ServerAddress, nowMs: number): number {
+    const span = this.activeSpans.get(first);
+    const isActive = span && nowMs - span.lastEventAtMs < ACTIVE_MS;
+    return isActive ? nowMs - span.sinceMs : 0;
   }
 
   /** Requests a server's report, unless it was queried too recently. */
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -89,6 +89,12 @@
  */
 const ABANDON_SERVER_THRESHOLD_MS = 1300;
 
+/**
+ * Time for which the other streams must have had events. After a silence of the
+ * whole server, its streams do not go on in the same moment.
+ */
+const ACTIVE_SERVER_THRESHOLD_MS = 400;
+
 /**
  * Streams leave a draining or slow server at random times within this span, so
  * that they do not all migrate at once.
@@ -250,7 +256,8 @@
     const first = this.path[0].server.address;
     // If all streams of the server have stalled, the path is overloaded, and
     // migrating them would add to the load.
-    const hasOtherActiveStreams = failureDetector.hasRecentEvent(first, nowMs);
+    const hasOtherActiveStreams =
+      failureDetector.activeForMs(first, nowMs) >= ACTIVE_SERVER_THRESHOLD_MS;
     if (
       silentMs >= ABANDON_SERVER_THRESHOLD_MS &&
       !awaitsFirstEvent &&
