Let a resumed stream await its first event on its new path

A stream that had been resumed was taken away from its new server 1.3 s later if other streams of that server had events, although it may wait in the queue there, or its prompt and former tokens may still be read. It then began again elsewhere, and 1.3 s there added to the silence before.

Streams that never had an event were exempt, by a look at the whole stream. The exemption now counts for each path, also after a change of its later servers. One flag says so in place of comparing two times in three places, which took an event in the millisecond of the change for none.

What it costs: a resumed stream whose answer is lost before its first event on the new path stays until its caller leaves, as streams without any event did before; no bound on queue and prefill is known to the entry.

--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -121,6 +121,8 @@
   private sentAtMs = 0;
   /** Time at which the stream got its current path. */
   private pathSetAtMs = 0;
+  /** Whether an event has come on the current path. */
+  private hasEventOnPath = false;
   private lastEventAtMs = 0;
   private firstEventAtMs: number | undefined;
   private longestPauseMs = 0;
@@ -207,8 +209,7 @@
       this.firstEventAtMs !== undefined;
     if (!isSending || this.path.length === 0) return undefined;
     const sinceMs = Math.max(this.lastEventAtMs, this.pathSetAtMs);
-    const isPathNew = this.pathSetAtMs >= this.lastEventAtMs;
-    const eventAtMs = isPathNew ? undefined : this.lastEventAtMs;
+    const eventAtMs = this.hasEventOnPath ? this.lastEventAtMs : undefined;
     return {path: this.path, sinceMs, eventAtMs};
   }
 
@@ -260,7 +261,8 @@
       failureDetector.activeForMs(first, nowMs) >= ACTIVE_SERVER_THRESHOLD_MS;
     if (
       silentMs >= ABANDON_SERVER_THRESHOLD_MS &&
-      !awaitsFirstEvent &&
+      // Until then it may be queued, or its tokens are processed again.
+      this.hasEventOnPath &&
       hasOtherActiveStreams
     ) {
       return this.abandonServer('stalled while other streams have events');
@@ -285,6 +287,7 @@
     this.path = path;
     this.sentAtMs = now;
     this.pathSetAtMs = now;
+    this.hasEventOnPath = false;
     this.migrateFromMs = now + MIGRATION_SPREAD_MS * Math.random();
     if (!this.isHeadSent) this.lastEventAtMs = now;
     this.attempts++;
@@ -397,8 +400,7 @@
     } else {
       const pauseMs = now - this.lastEventAtMs;
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
-      const isPathNew = this.pathSetAtMs >= this.lastEventAtMs;
-      if (!isPathNew) {
+      if (this.hasEventOnPath) {
         const intervalMs = pauseMs / eventCount;
         this.options.failureDetector.recordInterval(
           this.model,
@@ -408,6 +410,7 @@
       }
     }
     this.lastEventAtMs = now;
+    this.hasEventOnPath = true;
     this.promptGuard.recordEvents();
     this.options.failureDetector.recordEvent(this.path[0].server.address, now);
     const {res} = this.exchange;
@@ -738,6 +741,7 @@
       this.repaths++;
       this.path = path;
       this.pathSetAtMs = nowMs();
+      this.hasEventOnPath = false;
     }
     return outcome;
   }
