Give up a stalled stream only if it continues at once elsewhere

A stream that stalled while others of its server had events was taken away from it whether or not it could go on: while no chain had free tokens or the retry budget was used up it then waited without a server, and a stream that may not be resumed, or whose attempts were used up, was ended in the middle of its answer, although a server's silence is no reason to end it.

It now leaves its server when a chain that it may use has free tokens, the retry budget allows an attempt, and the loss would not end it. Until then its run goes on, and its events are forwarded if they come.

--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -346,13 +346,16 @@
     return isExcluded ? 'allowed_servers' : 'free_chain';
   }
 
-  /** Whether a chain with another first server can admit the request. */
-  hasFreeTokensElsewhere(tokens: number, first: ServerAddress): boolean {
+  /** Whether an allowed chain has enough free tokens for a request. */
+  hasFreeTokensOn(
+    tokens: number,
+    isAllowed: (first: ServerAddress) => boolean,
+  ): boolean {
     const {loads, nowMs} = this.options;
     const now = nowMs();
     return this.currentChains().some(
       chain =>
-        chain.path[0].server.address !== first &&
+        isAllowed(chain.path[0].server.address) &&
         loads.hasFreeTokens(chain, tokens, now),
     );
   }
--- a/packages/forwarding/src/core/relay/replacement_paths.ts
+++ b/packages/forwarding/src/core/relay/replacement_paths.ts
@@ -66,9 +66,9 @@
     if (!path) return undefined;
     const chain = toChain(this.model, path);
     const isOvercommitted = loads.usedFraction(chain, now) > 1;
-    const hasOtherChain = this.admission.hasFreeTokensElsewhere(
+    const hasOtherChain = this.admission.hasFreeTokensOn(
       this.costTokens,
-      first.server.address,
+      address => address !== first.server.address,
     );
     return isOvercommitted && hasOtherChain ? undefined : path;
   }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -263,7 +263,8 @@
       silentMs >= ABANDON_SERVER_THRESHOLD_MS &&
       // Until then it may be queued, or its tokens are processed again.
       this.hasEventOnPath &&
-      hasOtherActiveStreams
+      hasOtherActiveStreams &&
+      this.canContinueElsewhere(nowMs)
     ) {
       return this.abandonServer('stalled while other streams have events');
     }
@@ -273,6 +274,32 @@
     if (silentMs >= thresholdMs) failureDetector.queryServer(first);
   }
 
+  /** Whether the stream would go on at once if it left its first server. */
+  private canContinueElsewhere(nowMs: number): boolean {
+    if (this.decide(nowMs).kind !== 'resume') return false;
+    const {budget, service} = this.options;
+    if (budget.available(service, nowMs) < 1) return false;
+    const first = this.path[0].server.address;
+    const mayContinueOn = this.chainFilter();
+    return this.admission.hasFreeTokensOn(
+      this.queuedRequest.costTokens,
+      address => address !== first && mayContinueOn(address),
+    );
+  }
+
+  /** Decides what follows if the stream has lost its server. */
+  private decide(nowMs: number): StreamDecision {
+    const {budget, service} = this.options;
+    return decideStream({
+      isResumable: this.accepted.route.isResumable,
+      isHeadSent: this.isHeadSent,
+      mayHaveRun: this.mayHaveRun,
+      attempts: this.attempts - this.refusedAttempts,
+      remainingMs: this.accepted.deadlineAtMs - nowMs,
+      hasRetryBudget: budget.available(service, nowMs) >= 1,
+    });
+  }
+
   /** Tries again to resume a started stream. */
   private retryResume(): void {
     // A chain that failed this stream before may have recovered.
@@ -534,14 +561,7 @@
     // A refused request has not run and does not count as an attempt.
     if (isRefusal) this.refusedAttempts++;
     this.failedFirstServers.add(first);
-    const decision = decideStream({
-      isResumable: this.accepted.route.isResumable,
-      isHeadSent: this.isHeadSent,
-      mayHaveRun: this.mayHaveRun,
-      attempts: this.attempts - this.refusedAttempts,
-      remainingMs: this.accepted.deadlineAtMs - now,
-      hasRetryBudget: availableRetries >= 1,
-    });
+    const decision = this.decide(now);
     const reason = this.retryReason(isRefusal);
     this.releaseReservation();
     this.path = [];
--- a/packages/forwarding/test/stream_silence_test.ts
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -1,6 +1,6 @@
 /** Streams whose servers, or whose chains, are silent for a while. */
 import {describe, it} from 'node:test';
-import type {ServerAddress} from '@azurecrank/forwarding';
+import type {Route, ServerAddress} from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {
   FakeResponse,
@@ -46,25 +46,30 @@
 
 /** Three streams on one chain that have had their first event. */
 class SharedChain {
-  readonly harness = new RelayHarness();
-  readonly first = this.harness.lastSent.request.address;
-  readonly responses = [
-    this.harness.res,
-    startOn(this.harness, this.first, 'r2'),
-    startOn(this.harness, this.first, 'r3'),
-  ];
-  readonly sent = ['r1', 'r2', 'r3'].map(id => this.harness.sentFor(id)[0]);
-
-  constructor() {
-    const {harness, sent} = this;
-    for (const request of sent) {
+  readonly harness: RelayHarness;
+  readonly first: ServerAddress;
+  readonly responses: readonly FakeResponse[];
+  readonly sent: readonly SentRequest[];
+
+  /** @param route of the first stream */
+  constructor(route: Partial<Route> = {}) {
+    const harness = new RelayHarness(route);
+    this.harness = harness;
+    this.first = harness.lastSent.request.address;
+    const others = ['r2', 'r3'].map(id => startOn(harness, this.first, id));
+    this.responses = [harness.res, ...others];
+    this.sent = harness.upstream.sent.slice(0, 3);
+    for (const request of this.sent) {
       harness.receiveHeadOf(request);
       harness.receiveEventsOf(request, 1);
     }
   }
 
   /** Lets time pass while only the given streams have events. */
-  async advance(durationMs: number, active: SentRequest[] = []): Promise<void> {
+  async advance(
+    durationMs: number,
+    active: readonly SentRequest[] = [],
+  ): Promise<void> {
     const {harness} = this;
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
       await harness.advance(50);
@@ -139,6 +144,47 @@
     expect(sent[0].isAborted).toEqual(true);
     expect(harness.sentFor('r1').length).toEqual(2);
   });
+
+  it('stays until the retry budget allows another attempt', async () => {
+    const chain = new SharedChain();
+    const {harness, sent} = chain;
+    harness.useAllRetries();
+    await chain.advance(1900, sent.slice(1));
+    expect(sent[0].isAborted).toEqual(false);
+    expect(harness.res.destroyed).toEqual(false);
+  });
+
+  // Guards against ending an answer because its server is silent.
+  it('is not ended if it may not be resumed', async () => {
+    const chain = new SharedChain({isResumable: false});
+    const {harness, sent} = chain;
+    await chain.advance(1900, sent.slice(1));
+    expect(sent[0].isAborted).toEqual(false);
+    harness.receiveEventsOf(sent[0], 2);
+    sent[0].handlers.onEnd();
+    expect(eventIds(harness.res)).toEqual([1, 2]);
+    expect(harness.res.writableFinished).toEqual(true);
+  });
+
+  // Guards against ending an answer because its server is silent.
+  it('is not ended when its attempts are used up', async () => {
+    const chain = new SharedChain({maxAttempts: 6});
+    const {harness, sent} = chain;
+    for (let attempt = 1; attempt < 6; attempt++) {
+      const last = harness.sentFor('r1')[attempt - 1];
+      harness.leaveTokens(chain.first, 10_000);
+      last.handlers.onFailure(FAILURE);
+      await harness.advance(50);
+      harness.freeAllTokens();
+    }
+    const last = harness.sentFor('r1')[5];
+    expect(last.request.address).toEqual(chain.first);
+    harness.receiveHeadOf(last);
+    harness.receiveEventsOf(last, 2);
+    await chain.advance(1900, sent.slice(1));
+    expect(last.isAborted).toEqual(false);
+    expect(harness.res.destroyed).toEqual(false);
+  });
 });
 
 describe('a resumed stream', () => {
