Continue interrupted streams before new requests are admitted

Under overload, a stream that had lost its chain waited for free KV-cache tokens in competition with all new requests, and mostly in vain: a chain was looked for at each check of the stream, while the queue of its entry and those of all others took what became free in between, and smaller requests took it before it was enough. Most of the stream's work was done by then.

ModelAdmission now knows the streams that wait for a chain. They go first, by rank and age, and what they still lack is kept for them: each keeps the free tokens of the chain on which it will soonest fit.

They hold back nothing that they cannot use: a stream that may go on only where it has run keeps tokens only there and is not reported, streams beyond the retry budget keep none, nor do chains that are too small or closed. Requests that wait for them are counted as `interrupted_first`.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -101,6 +101,7 @@
       'no_free_tokens',
       'chain_closed',
       'other_entries_first',
+      'interrupted_first',
     ],
   },
   azurecrank_first_token_ms: {
--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -328,6 +328,11 @@
   readonly queues?: ReadonlyArray<
     readonly [string, ReadonlyArray<readonly [number, number]>]
   >;
+  /**
+   * Tokens of the started streams that wait for another chain, by service.
+   * Absent if there are none.
+   */
+  readonly interrupted?: ReadonlyArray<readonly [string, number]>;
   /** Incarnations of draining servers: id and start time (Unix ms). */
   readonly leaving: ReadonlyArray<readonly [string, number]>;
   /** Addresses of servers that the entry suspects because they do not answer. */
--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -227,17 +227,20 @@
 
   /** Tokens that the chain can still admit; 0 while it gets no request. */
   freeTokens(chain: ServerChain, nowMs: number): number {
-    const {address: first, service} = chain.path[0].server;
+    return this.isOpen(chain, nowMs) ? this.unusedTokens(chain, nowMs) : 0;
+  }
+
+  /** Whether the chain gets requests, if it has free tokens. */
+  isOpen({path}: ServerChain, nowMs: number): boolean {
+    const {address: first, service} = path[0].server;
     const refusing = this.refusingChains.get(first);
-    if (refusing && nowMs < refusing.closedUntilMs) return 0;
-    const {holds} = this;
+    if (refusing && nowMs < refusing.closedUntilMs) return false;
+    const {holds, limits} = this;
     // A request passes all servers of the chain.
     const isHeld =
       holds !== undefined &&
-      chain.path.some(({server}) => !holds.maySend(server, nowMs));
-    if (isHeld) return 0;
-    if (this.limits && !this.limits.maySend(first, service, nowMs)) return 0;
-    return this.unusedTokens(chain, nowMs);
+      path.some(({server}) => !holds.maySend(server, nowMs));
+    return !isHeld && (!limits || limits.maySend(first, service, nowMs));
   }
 
   /** Admissible tokens that are not in use, also while none may be admitted. */
--- /dev/null
+++ b/packages/forwarding/src/core/admission/interrupted_streams.ts
@@ -0,0 +1,98 @@
+/**
+ * Started streams that lost their chain and wait for another one. They go
+ * before new requests: under overload these would take each token that becomes
+ * free, and work that is mostly done would be lost. Pure.
+ */
+import {rankIndex, type Rank, type RequestId} from '@azurecrank/core';
+import type {ServerAddress} from '../fleet/backend_server.js';
+import {ADMISSIBLE_CAPACITY_FRACTION} from '../paths/chain_throughput.js';
+import type {ServerChain} from '../paths/find_chains.js';
+
+export interface InterruptedStream {
+  readonly request: RequestId;
+  readonly rank: Rank;
+  readonly costTokens: number;
+  /** Whether it may continue on the chain of this first server. */
+  readonly mayContinueOn: (first: ServerAddress) => boolean;
+  /** Whether it may continue only at servers on which it has run. */
+  readonly isRestricted: () => boolean;
+  /** Number of retries that the entry may make at the service for now. */
+  readonly availableRetries: () => number;
+  /** Called with the chain on which the stream's tokens are reserved. */
+  readonly resume: (chain: ServerChain) => void;
+}
+
+export class InterruptedStreams {
+  private readonly streams = new Map<RequestId, InterruptedStream>();
+
+  add(stream: InterruptedStream): void {
+    this.streams.set(stream.request, stream);
+  }
+
+  remove(request: RequestId): void {
+    this.streams.delete(request);
+  }
+
+  has({request}: InterruptedStream): boolean {
+    return this.streams.has(request);
+  }
+
+  /** Streams that the retry budget lets continue, in the order of their turns. */
+  eligible(): InterruptedStream[] {
+    if (this.streams.size === 0) return [];
+    return [...this.streams.values()]
+      .sort((a, b) => rankIndex(a.rank) - rankIndex(b.rank))
+      .filter((stream, index) => index < stream.availableRetries());
+  }
+
+  /**
+   * Tokens of the streams for which other entries should leave free tokens.
+   * Those that may use only certain chains are left out, since others would
+   * leave tokens on all chains.
+   */
+  reportedTokens(chains: readonly ServerChain[]): number {
+    return this.eligible()
+      .filter(stream => !stream.isRestricted())
+      .filter(({costTokens}) => chains.some(c => fits(c, costTokens)))
+      .reduce((sum, {costTokens}) => sum + costTokens, 0);
+  }
+
+  /**
+   * Returns the free tokens of each chain that are left for new requests. Each
+   * stream keeps those of the chain that it will soonest fit on.
+   * @param freeTokens of the chains, in the same order
+   */
+  tokensLeft(
+    chains: readonly ServerChain[],
+    freeTokens: readonly number[],
+  ): number[] {
+    const left = [...freeTokens];
+    for (const stream of this.eligible()) {
+      const index = largestUsable(stream, chains, left);
+      if (index < 0) continue;
+      left[index] = Math.max(0, left[index] - stream.costTokens);
+    }
+    return left;
+  }
+}
+
+/** Returns the index of the chain with most free tokens for it, -1 if none. */
+function largestUsable(
+  {costTokens, mayContinueOn}: InterruptedStream,
+  chains: readonly ServerChain[],
+  freeTokens: readonly number[],
+): number {
+  let best = -1;
+  chains.forEach((chain, index) => {
+    const isUsable =
+      mayContinueOn(chain.path[0].server.address) && fits(chain, costTokens);
+    if (!isUsable || freeTokens[index] === 0) return;
+    if (best < 0 || freeTokens[index] > freeTokens[best]) best = index;
+  });
+  return best;
+}
+
+/** Whether the chain could admit the tokens if no others were in use. */
+function fits({capacityTokens}: ServerChain, tokens: number): boolean {
+  return capacityTokens * ADMISSIBLE_CAPACITY_FRACTION >= tokens;
+}
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -21,6 +21,10 @@
 import {formatPath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import type {ChainLoads} from './chain_loads.js';
+import {
+  InterruptedStreams,
+  type InterruptedStream,
+} from './interrupted_streams.js';
 import type {PeerQueues, ServiceQueues} from './peer_queues.js';
 import type {WaitingQueue, WaitReason} from './queue_wait_reporter.js';
 import {AdmissionRateMeter} from './admission_rate_meter.js';
@@ -85,6 +89,7 @@
     maxItems: MAX_QUEUED_REQUESTS,
     maxPerWorkspace: MAX_QUEUED_PER_WORKSPACE,
   });
+  private readonly interrupted = new InterruptedStreams();
   private readonly rateMeter = new AdmissionRateMeter();
   private readonly retrySchedule = new RetryAfterSchedule();
   private chains: ServerChain[] = [];
@@ -98,16 +103,20 @@
    * may send to no chain, there are none for which others should leave tokens.
    */
   queues(): ServiceQueues {
-    const {service, nowMs} = this.options;
+    const {service, loads, nowMs} = this.options;
     const now = nowMs();
     if (this.heldForMs(now) > 0) {
       const none = {tokens: 0, oldestAgeMs: 0};
       return {service, ranks: RANKS.map(() => none)};
     }
+    const interruptedTokens = this.interrupted.reportedTokens(
+      this.currentChains().filter(chain => loads.isOpen(chain, now)),
+    );
     const tokens = this.queue.waitingCostByRank();
     const oldestAtMs = this.queue.oldestEnqueuedAtMs();
     return {
       service,
+      interruptedTokens,
       ranks: RANKS.map((_, rank) => ({
         tokens: tokens[rank],
         oldestAgeMs: now - (oldestAtMs[rank] ?? now),
@@ -137,7 +146,8 @@
     const chains = this.currentChains();
     if (chains.length === 0) return 'no_chain';
     if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS)) {
-      return 'other_entries_first';
+      const isKept = this.interrupted.eligible().length > 0;
+      return isKept ? 'interrupted_first' : 'other_entries_first';
     }
     const isAnyClosed = chains.some(
       chain => loads.unusedTokens(chain, now) >= TYPICAL_REQUEST_TOKENS,
@@ -196,7 +206,9 @@
         nowMs,
       );
     const tokensAhead =
-      this.queue.costAhead(request) + this.tokensAhead(request, false, nowMs);
+      this.interrupted.reportedTokens(chains) +
+      this.queue.costAhead(request) +
+      this.tokensAhead(request, false, nowMs);
     return (tokensAhead + request.costTokens) / tokensPerMs;
   }
 
@@ -245,9 +257,16 @@
     this.enqueue(request);
   }
 
-  /** Removes a request whose caller has disconnected. */
+  /** Removes a request that has ended, wherever it waits. */
   remove(request: RequestId): void {
     this.queue.remove(request);
+    this.interrupted.remove(request);
+  }
+
+  /** Continues a stream that lost its chain, at once or before new requests. */
+  resume(stream: InterruptedStream): void {
+    this.interrupted.add(stream);
+    this.resumeInterrupted(this.options.nowMs());
   }
 
   /** Records the tokens that an ended request has used, for fair queueing. */
@@ -256,7 +275,7 @@
   }
 
   /**
-   * Admits requests that fit and refuses those past their deadline, or with one
+   * Continues streams that lost their chain, admits requests that fit and refuses those past their deadline, or with one
    * before the first chain takes requests again.
    */
   processQueue(): void {
@@ -267,6 +286,7 @@
     }
     // The rate during a hold does not show how long requests wait after it.
     if (heldForMs > 0) return this.rateMeter.stopMeasuring();
+    this.resumeInterrupted(now);
     this.admitWaiting(now);
     if (this.queue.size > 0) this.rateMeter.startMeasuring(now);
     else if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS))
@@ -274,11 +294,14 @@
   }
 
   private admitWaiting(now: number): void {
-    const {loads, availabilityZone, peerQueues, service} = this.options;
+    const {loads} = this.options;
     const chains = this.currentChains();
-    if (chains.length === 0) return;
+    if (chains.length === 0 || this.queue.size === 0) return;
     for (;;) {
-      const free = chains.map(chain => loads.freeTokens(chain, now));
+      const free = this.interrupted.tokensLeft(
+        chains,
+        chains.map(chain => loads.freeTokens(chain, now)),
+      );
       const totalFree = free.reduce((sum, tokens) => sum + tokens, 0);
       const largestFree = Math.max(...free);
       const item = this.queue.next(
@@ -289,22 +312,44 @@
             totalFree,
       );
       if (!item) return;
-      const chain = peerQueues.isContended(service, now)
-        ? chooseContendedChain(
-            chains,
-            loads,
-            item.costTokens,
-            item.request,
-            now,
-          )
-        : chooseChain(chains, loads, item.costTokens, availabilityZone, now);
+      const open = chains.filter((_, i) => free[i] >= item.costTokens);
+      const chain = this.reserve(open, item, now);
       if (!chain) return;
-      loads.reserve(chain.path[0].server.address, item.costTokens, now);
       this.rateMeter.recordAdmission(item.costTokens, now);
       item.admit(chain);
     }
   }
 
+  private resumeInterrupted(now: number): void {
+    for (const stream of this.interrupted.eligible()) {
+      const {request, mayContinueOn} = stream;
+      // A resumed stream uses a retry, and may be lost again at once.
+      if (stream.availableRetries() < 1) return;
+      if (!this.interrupted.has(stream)) continue;
+      const allowed = this.currentChains().filter(({path}) =>
+        mayContinueOn(path[0].server.address),
+      );
+      const chain = this.reserve(allowed, stream, now);
+      if (!chain) continue;
+      this.interrupted.remove(request);
+      stream.resume(chain);
+    }
+  }
+
+  /** Reserves tokens on one of the chains, if any has enough free ones. */
+  private reserve(
+    chains: readonly ServerChain[],
+    {request, costTokens}: Pick<WaitingRequest, 'request' | 'costTokens'>,
+    now: number,
+  ): ServerChain | undefined {
+    const {loads, availabilityZone, peerQueues, service} = this.options;
+    const chain = peerQueues.isContended(service, now)
+      ? chooseContendedChain(chains, loads, costTokens, request, now)
+      : chooseChain(chains, loads, costTokens, availabilityZone, now);
+    if (chain) loads.reserve(chain.path[0].server.address, costTokens, now);
+    return chain;
+  }
+
   /** Tokens of the requests that other entries admit before this one. */
   private tokensAhead(
     {rank, enqueuedAtMs}: WaitingRequest,
@@ -320,22 +365,7 @@
     return peerQueues.tokensAhead(service, place, nowMs);
   }
 
-  /** Reserves tokens on an allowed chain for a request that lost its own. */
-  reserveChain(
-    tokens: number,
-    isAllowed: (first: ServerAddress) => boolean,
-  ): ServerChain | undefined {
-    const {loads, availabilityZone, nowMs} = this.options;
-    const now = nowMs();
-    const chains = this.currentChains().filter(({path}) =>
-      isAllowed(path[0].server.address),
-    );
-    const chosen = chooseChain(chains, loads, tokens, availabilityZone, now);
-    if (chosen) loads.reserve(chosen.path[0].server.address, tokens, now);
-    return chosen;
-  }
-
-  /** Returns why `reserveChain` finds no chain. */
+  /** Returns why a stream that lost its chain does not continue. */
   chainLack(
     tokens: number,
     isAllowed: (first: ServerAddress) => boolean,
--- a/packages/forwarding/src/core/admission/peer_queues.ts
+++ b/packages/forwarding/src/core/admission/peer_queues.ts
@@ -16,6 +16,8 @@
 /** Waiting requests of a service at an entry, indexed by rank. */
 export interface ServiceQueues {
   readonly service: ServiceId;
+  /** Tokens of the streams that lost their chain; none if absent. */
+  readonly interruptedTokens?: number;
   readonly ranks: readonly RankQueue[];
 }
 
@@ -55,18 +57,23 @@
   /** Number of other entries at which requests of the service wait. */
   waitingPeers(service: ServiceId, nowMs: number): number {
     const queues = this.recentQueues(service, nowMs);
-    return queues.filter(({ranks}) => ranks.some(({tokens}) => tokens > 0))
-      .length;
+    return queues.filter(
+      ({ranks, interruptedTokens = 0}) =>
+        interruptedTokens > 0 || ranks.some(({tokens}) => tokens > 0),
+    ).length;
   }
 
   /**
    * Tokens of the requests at other entries that go before a request: those of
-   * higher ranks, and those of its rank at entries with an older one.
+   * interrupted streams, those of higher ranks, and those of its rank at entries
+   * with an older one.
    */
   tokensAhead(service: ServiceId, place: QueuePlace, nowMs: number): number {
     const {rankIndex, enqueuedAtMs, isOnReservedShare} = place;
     let tokens = 0;
-    for (const {ranks, atMs} of this.recentQueues(service, nowMs)) {
+    for (const queues of this.recentQueues(service, nowMs)) {
+      const {ranks, atMs, interruptedTokens = 0} = queues;
+      tokens += interruptedTokens;
       ranks.forEach((queue, index) => {
         const isHigher = index < rankIndex && !isOnReservedShare;
         const isOlder =
@@ -80,13 +87,13 @@
   private recentQueues(
     service: ServiceId,
     nowMs: number,
-  ): Array<{ranks: readonly RankQueue[]; atMs: number}> {
+  ): Array<ServiceQueues & {readonly atMs: number}> {
     for (const [node, {atMs}] of this.reports) {
       if (nowMs - atMs > MAX_REPORT_AGE_MS) this.reports.delete(node);
     }
     return [...this.reports.values()].flatMap(({queues, atMs}) => {
-      const ranks = queues.find(q => q.service === service)?.ranks;
-      return ranks ? [{ranks, atMs}] : [];
+      const ofService = queues.find(q => q.service === service);
+      return ofService ? [{...ofService, atMs}] : [];
     });
   }
 }
--- a/packages/forwarding/src/core/admission/queue_wait_reporter.ts
+++ b/packages/forwarding/src/core/admission/queue_wait_reporter.ts
@@ -11,9 +11,14 @@
  * - `chain_closed`: a chain has free tokens, but it has just refused a request
  *   or a limit that its server names is used up.
  * - `other_entries_first`: tokens are free for requests of other entries.
+ * - `interrupted_first`: tokens are kept for streams that lost their chain.
  */
 export type WaitReason =
-  'no_chain' | 'no_free_tokens' | 'chain_closed' | 'other_entries_first';
+  | 'no_chain'
+  | 'no_free_tokens'
+  | 'chain_closed'
+  | 'other_entries_first'
+  | 'interrupted_first';
 
 /** The queue of a model while requests wait in it. */
 export interface WaitingQueue {
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -160,12 +160,13 @@
   }
 
   private createShares(): EntryReport {
-    const {loads, retryBudget, fleet, nowMs, queues} = this.options;
+    const {loads, retryBudget, fleet, nowMs} = this.options;
+    const queues = this.options.queues();
     return {
       type: 'shares',
       configVersion: this.versions().configVersion,
       usedTokens: loads.ownUsedTokens(),
-      queues: queues().map(toQueuesTuple),
+      queues: queues.map(toQueuesTuple),
       leaving: fleet.leavingServers(),
       suspected: fleet.ownSuspicions(),
       refusing: fleet.ownRefusing(),
@@ -174,20 +175,24 @@
       retries: retryBudget
         .report(nowMs())
         .map(c => [c.service, c.requests, c.retries]),
-      ...this.createRareReports(),
+      ...this.createRareReports(queues),
       isStopping: this.options.isStopping(),
       layoutFence: this.options.layoutFence(),
     };
   }
 
   /** Parts of the report that mostly have no content; these are left out. */
-  private createRareReports(): Partial<EntryReport> {
+  private createRareReports(
+    queues: readonly ServiceQueues[],
+  ): Partial<EntryReport> {
     const {quarantine, limits, nowMs} = this.options;
     const now = nowMs();
     const {suspects, answered} = quarantine.report(now);
     const suspectParts = suspects.map(toSuspectTuple);
     const limitTuples = limits.report(now).map(toLimitTuple);
+    const interrupted = queues.flatMap(toInterruptedTuples);
     return {
+      ...(interrupted.length > 0 && {interrupted}),
       ...(suspectParts.length > 0 && {suspectParts}),
       ...(answered.length > 0 && {answeredParts: answered}),
       ...(limitTuples.length > 0 && {limits: limitTuples}),
@@ -229,11 +234,7 @@
     } = this.options;
     const now = nowMs();
     loads.setPeerUsage(link.name, message.usedTokens, now);
-    peerQueues.setQueues(
-      link.name,
-      (message.queues ?? []).map(fromQueuesTuple),
-      now,
-    );
+    peerQueues.setQueues(link.name, toServiceQueues(message), now);
     retryBudget.setPeerCounts(
       link.name,
       (message.retries ?? []).map(toRetryCounts),
@@ -320,11 +321,25 @@
   ];
 }
 
-function fromQueuesTuple([service, ranks]: QueuesTuple): ServiceQueues {
-  return {
+type InterruptedTuple = NonNullable<EntryReport['interrupted']>[number];
+
+function toInterruptedTuples({
+  service,
+  interruptedTokens = 0,
+}: ServiceQueues): InterruptedTuple[] {
+  return interruptedTokens > 0 ? [[service, interruptedTokens]] : [];
+}
+
+function toServiceQueues({
+  queues = [],
+  interrupted = [],
+}: EntryReport): ServiceQueues[] {
+  const interruptedTokens = new Map(interrupted);
+  return queues.map(([service, ranks]) => ({
     service: service as ServiceId,
+    interruptedTokens: interruptedTokens.get(service) ?? 0,
     ranks: ranks.map(([tokens, oldestAgeMs]) => ({tokens, oldestAgeMs})),
-  };
+  }));
 }
 
 type SuspectTuple = NonNullable<EntryReport['suspectParts']>[number];
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -234,7 +234,11 @@
       return this.handleDeadline();
     }
     if (this.promptGuard.shouldStopRun) return this.endQuarantined();
-    if (this.waitingSinceMs !== undefined) return this.retryResume();
+    if (this.waitingSinceMs !== undefined) {
+      // A chain that failed this stream before may have recovered.
+      this.failedFirstServers.clear();
+      return;
+    }
     if (this.path.length === 0 || this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
@@ -300,13 +304,6 @@
     });
   }
 
-  /** Tries again to resume a started stream. */
-  private retryResume(): void {
-    // A chain that failed this stream before may have recovered.
-    this.failedFirstServers.clear();
-    this.resume();
-  }
-
   private send(path: ServerPath): void {
     const {options, exchange, accepted} = this;
     if (!this.promptGuard.tryStartRun()) return this.endQuarantined();
@@ -579,10 +576,7 @@
       // The queue knows no limit on the servers that a request may run on.
       const mayQueue =
         kind === 'queue_again' && this.allowedServers() === undefined;
-      if (!mayQueue) {
-        this.waitingSinceMs = now;
-        return this.resume() ? undefined : this.logWait();
-      }
+      if (!mayQueue) return this.continueOnChain();
       budget.tryAcquire(service, now);
       return this.admission.requeue(this.queuedRequest);
     }
@@ -595,26 +589,30 @@
     return isLeaving ? 'server_leaving' : 'refused_elsewhere';
   }
 
-  /**
-   * Continues on a chain with free capacity; if there is none, or no retry is
-   * left, `tick` tries again.
-   * @returns whether the stream continues
-   */
-  private resume(): boolean {
+  /** Continues on a chain with free capacity, at once or when there is one. */
+  private continueOnChain(): void {
+    const {budget, service, nowMs} = this.options;
+    const {request, rank, costTokens} = this.queuedRequest;
+    this.waitingSinceMs = nowMs();
+    this.admission.resume({
+      request,
+      rank,
+      costTokens,
+      mayContinueOn: first => this.chainFilter()(first),
+      isRestricted: () => this.allowedServers() !== undefined,
+      availableRetries: () => budget.available(service, nowMs()),
+      resume: chain => this.resumeOn(chain),
+    });
+    if (this.waitingSinceMs !== undefined && !this.isFinished) this.logWait();
+  }
+
+  private resumeOn({path}: ServerChain): void {
     const {budget, service, nowMs} = this.options;
-    if (budget.available(service, nowMs()) < 1) return false;
-    const chain = this.admission.reserveChain(
-      this.queuedRequest.costTokens,
-      this.chainFilter(),
-    );
-    if (!chain) return false;
     budget.tryAcquire(service, nowMs());
-    this.reservedFirstServer = chain.path[0].server.address;
-    const next = formatPath(chain.path);
-    this.log('stream resumed', {next, ...this.waitFields()});
+    this.reservedFirstServer = path[0].server.address;
+    this.log('stream resumed', {next: formatPath(path), ...this.waitFields()});
     this.waitingSinceMs = undefined;
-    this.send(chain.path);
-    return true;
+    this.send(path);
   }
 
   /** Returns whether the stream may continue on the chain of a first server. */
@@ -703,7 +701,6 @@
     if (this.isFinished) return;
     const isRunning = this.upstream?.wasSent ?? false;
     this.upstream?.abort();
-    this.admission.remove(this.queuedRequest.request);
     this.lastCause = 'a part of the prompt ends servers';
     if (this.isHeadSent)
       return this.endIncomplete({kind: 'cut', endedBy: 'quarantined'});
@@ -783,7 +780,6 @@
   private handleCallerDisconnect(): void {
     if (this.isFinished) return;
     this.upstream?.abort();
-    this.admission.remove(this.queuedRequest.request);
     const {waitsFor} = this;
     this.finish();
     this.log('caller left', {waitsFor, ...this.waitFields()});
@@ -807,6 +803,7 @@
     this.isFinished = true;
     this.promptGuard.endRun();
     this.releaseReservation();
+    this.admission.remove(this.queuedRequest.request);
     this.admission.recordUsage(
       this.queuedRequest,
       this.queuedRequest.costTokens,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
 export * from './core/adapter/platform_adapter.js';
 export * from './core/admission/chain_loads.js';
 export * from './core/admission/choose_chain.js';
+export * from './core/admission/interrupted_streams.js';
 export * from './core/admission/model_admission.js';
 export * from './core/admission/peer_queues.js';
 export * from './core/admission/queue_wait_reporter.js';
--- a/packages/forwarding/test/entry_mesh_test.ts
+++ b/packages/forwarding/test/entry_mesh_test.ts
@@ -10,6 +10,7 @@
   SharedServerLimits,
   type CrashId,
   type PromptPartKey,
+  type ServiceQueues,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {SERVICE, emptyFleet} from './fleet_fixture.js';
@@ -23,6 +24,8 @@
   readonly quarantine = new PromptQuarantine(() => {});
   readonly limits: SharedServerLimits;
   readonly fleet = new FleetView();
+  readonly peerQueues = new PeerQueues();
+  queues: readonly ServiceQueues[] = [];
   serversLost = 0;
   readonly mesh: EntryMesh;
 
@@ -49,8 +52,8 @@
       fleet: this.fleet,
       logger: new Logger(node, 'silent'),
       nowMs,
-      peerQueues: new PeerQueues(),
-      queues: () => [],
+      peerQueues: this.peerQueues,
+      queues: () => this.queues,
       storedTable: () => ({version: 0, text: ''}),
       updateTable: () => {},
       hasEventSince: () => false,
@@ -110,6 +113,22 @@
     expect(isBlocked(CRASHING)).toEqual(true);
   });
 
+  // Guards against new requests of peers that take the tokens for which streams
+  // without a chain wait (incident LOST).
+  it('tells peers of streams that lost their chain', async () => {
+    const tokensAhead = () =>
+      b.peerQueues.tokensAhead(
+        SERVICE,
+        {rankIndex: 0, enqueuedAtMs: 0, isOnReservedShare: true},
+        performance.now(),
+      );
+    const ranks = [{tokens: 0, oldestAgeMs: 0}];
+    a.queues = [{service: SERVICE, interruptedTokens: 785, ranks}];
+    await waitUntil('tokens known', () => tokensAhead() === 785);
+    a.queues = [{service: SERVICE, ranks}];
+    await waitUntil('tokens gone', () => tokensAhead() === 0);
+  });
+
   it('tells peers of servers that leave', async () => {
     const [server] = emptyFleet();
     for (const {fleet} of [a, b]) fleet.put(server, 0);
--- a/packages/forwarding/test/interrupted_streams_test.ts
+++ b/packages/forwarding/test/interrupted_streams_test.ts
@@ -3,7 +3,15 @@
  * at one entry and at several that report to each other.
  */
 import {describe, it} from 'node:test';
+import type {RequestId} from '@azurecrank/core';
+import {
+  InterruptedStreams,
+  findChains,
+  type InterruptedStream,
+  type ServerAddress,
+} from '@azurecrank/forwarding';
 import {expect} from 'earl';
+import {MODEL, laidOutFleet} from './fleet_fixture.js';
 import {FakeResponse, RelayHarness, requestOf} from './relay_harness.js';
 
 const FAILURE = {cause: 'reset', mayHaveRun: true};
@@ -49,6 +57,82 @@
   return requestOf(harness.lastSent);
 }
 
+describe('InterruptedStreams', () => {
+  const chains = findChains(MODEL, laidOutFleet());
+  const firsts = chains.map(({path}) => path[0].server.address);
+
+  function streamOf(
+    request: string,
+    costTokens: number,
+    {
+      rank = 'ordinary' as InterruptedStream['rank'],
+      allowed = firsts as readonly ServerAddress[],
+      availableRetries = 10,
+    } = {},
+  ): InterruptedStream {
+    return {
+      request: request as RequestId,
+      rank,
+      costTokens,
+      mayContinueOn: first => allowed.includes(first),
+      isRestricted: () => allowed.length < firsts.length,
+      availableRetries: () => availableRetries,
+      resume: () => {},
+    };
+  }
+
+  function waiting(...streams: InterruptedStream[]): InterruptedStreams {
+    const interrupted = new InterruptedStreams();
+    for (const stream of streams) interrupted.add(stream);
+    return interrupted;
+  }
+
+  it('go on by rank and age', () => {
+    const interrupted = waiting(
+      streamOf('a', 1, {rank: 'overnight'}),
+      streamOf('b', 1),
+      streamOf('c', 1, {rank: 'urgent'}),
+      streamOf('d', 1),
+    );
+    const order = interrupted.eligible().map(({request}) => request);
+    expect(order.map(String)).toEqual(['c', 'b', 'd', 'a']);
+  });
+
+  // Guards against small new requests that take the tokens one by one for
+  // which a large stream waits.
+  it('keep the free tokens of the chain on which they will soonest fit', () => {
+    const interrupted = waiting(streamOf('a', 900));
+    const left = interrupted.tokensLeft(chains, [300, 500, 100]);
+    expect(left).toEqual([300, 0, 100]);
+  });
+
+  it('keep tokens only of chains that they may use', () => {
+    const interrupted = waiting(streamOf('a', 900, {allowed: [firsts[2]]}));
+    const left = interrupted.tokensLeft(chains, [300, 500, 100]);
+    expect(left).toEqual([300, 500, 0]);
+    expect(interrupted.reportedTokens(chains)).toEqual(0);
+  });
+
+  it('keep no tokens for more streams than there are retries', () => {
+    const limits = {availableRetries: 1};
+    const interrupted = waiting(
+      streamOf('a', 400, limits),
+      streamOf('b', 400, limits),
+    );
+    expect(interrupted.reportedTokens(chains)).toEqual(400);
+    expect(interrupted.tokensLeft(chains, [900, 0, 0])).toEqual([500, 0, 0]);
+  });
+
+  it('keep no tokens of chains that are too small for them', () => {
+    const tooLarge = Math.max(...chains.map(c => c.capacityTokens)) + 1;
+    const interrupted = waiting(streamOf('a', tooLarge));
+    expect(interrupted.tokensLeft(chains, [300, 500, 100])).toEqual([
+      300, 500, 100,
+    ]);
+    expect(interrupted.reportedTokens(chains)).toEqual(0);
+  });
+});
+
 describe('interrupted streams', () => {
   // Guards against starvation: under overload, new requests take each token
   // that becomes free, and streams with most of their work done get none until
