Ignore entry registrations without a valid address

An entry connects to the address in each `azurecrank/entries/` value. Another writer may have stored something else there, for example a port out of range. `connect()` throws on such a port, here in the timer that sends to all entries, so the exception was uncaught and ended the process; the next process read the same value and ended too. Callers saw their connections closed each time.

The directory now takes only `HOST:PORT` with a port from 1 to 65535, and PeerNode reports an address that cannot be used as one that is down.

--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -3,7 +3,7 @@
  * connections, keeps one outgoing connection per address, replaces silent
  * connections, and reports peers that cannot be reached.
  */
-import {connect, createServer, type Server, type Socket} from 'node:net';
+import {Socket, createServer, type Server} from 'node:net';
 import type {
   PeerDecision,
   FailureDetectorOptions,
@@ -167,8 +167,7 @@
     onConnect: (socket: Socket) => void,
     onFail: (cause: string) => void,
   ): Socket {
-    const [host, port] = splitAddress(address);
-    const socket = connect({host, port});
+    const socket = connectTo(address);
     const timer = setTimeout(
       () => socket.destroy(new Error('connect timed out')),
       CONNECT_TIMEOUT_MS,
@@ -336,6 +335,18 @@
   }
 }
 
+/** Reports an invalid address as an error event, like all others. */
+function connectTo(address: PeerAddress): Socket {
+  const [host, port] = splitAddress(address);
+  const socket = new Socket();
+  try {
+    socket.connect({host, port});
+  } catch (error) {
+    socket.destroy(error as Error);
+  }
+  return socket;
+}
+
 function splitAddress(address: PeerAddress): [string, number] {
   const separator = address.lastIndexOf(':');
   return [address.slice(0, separator), Number(address.slice(separator + 1))];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './core/wire/frames.js';
 export * from './core/wire/messages.js';
 export * from './core/wire/peer_connection.js';
+export * from './core/wire/socket_address.js';
 export * from './core/wire/peer_node.js';
 export * from './core/platform/key_value_service.js';
 export * from './core/platform/http_key_value_service.js';
--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -1,5 +1,6 @@
 /** Registers this entry in the store and tracks the other entries. */
 import {
+  isSocketAddress,
   type KeyValueService,
   type Lease,
   type Logger,
@@ -67,10 +68,20 @@
         this.layoutLeaseExists = value !== undefined;
       if (!key.startsWith(ENTRIES_PREFIX)) continue;
       if (value === undefined) this.addresses.delete(key);
-      else this.addresses.set(key, value as PeerAddress);
+      else this.setAddress(key, value);
     }
   }
 
+  /** Other writers may have stored something else than an address. */
+  private setAddress(key: string, value: string): void {
+    if (isSocketAddress(value)) {
+      this.addresses.set(key, value as PeerAddress);
+      return;
+    }
+    this.addresses.delete(key);
+    this.logger.warn('entry registration has no valid address; ignored', {key});
+  }
+
   /** Renews the registration's lease, or registers again; then repeats. */
   private async renewRegistration(address: PeerAddress): Promise<void> {
     try {
