Report unsendable requests as failed instead of throwing

`HttpUpstream.send` threw if the HTTP client could not be created, for example for a port out of range. The relay of a call that may not be repeated runs in an async function without a handler, so the exception became an unhandled rejection and ended the process with all its requests. On a kept connection the client reported the same failure from within `send`, before the relay knew the exchange: the retry inside it was then taken for the first attempt, and its timer was lost.

Both are now reported as a failure in a later step of the event loop. The gateway also answers 500 if serving a request throws, rather than leaving the rejection unhandled.

--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -84,7 +84,7 @@
     if (isDraining()) res.shouldKeepAlive = false;
     const metadata = wire.parseCallerHeaders(req.rawHeaders);
     const exchange = new CallerExchange(req, res, metadata, nowMs());
-    void this.serve(exchange);
+    this.serve(exchange).catch(error => this.failInternally(exchange, error));
   }
 
   [Symbol.dispose](): void {
@@ -144,6 +144,14 @@
     this.relay(exchange, accepted);
   }
 
+  /** An error in one request must not end the process and all others. */
+  private failInternally(exchange: CallerExchange, error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? '') : String(error);
+    const options = {ran: 'unknown', detail} as const;
+    const refusal = refuse('internal_error', 'accept', options);
+    this.options.refusals.refuse(exchange, refusal);
+  }
+
   private relay(exchange: CallerExchange, accepted: AcceptedRequest): void {
     const {route, table} = accepted;
     const service = pickService(route, exchange.request);
--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -145,6 +145,19 @@
     }
   }
 
+  /**
+   * Reports that the request cannot be sent, for example as its address is
+   * invalid. Later, so that the caller of `send` has the exchange by then.
+   */
+  rejectLater(error: unknown): void {
+    setImmediate(() => {
+      if (this.isOver) return;
+      this.isOver = true;
+      const cause = describeError(error);
+      this.handlers.onFailure({cause, mayHaveRun: this.wasSent});
+    });
+  }
+
   /**
    * Starts the exchange.
    * @param release called once the connection is no longer needed
@@ -156,6 +169,7 @@
   ): void {
     const {address, method, target, headers, body, isSingleUse} = request;
     const {handlers} = this;
+    let hasReturned = false;
     dispatcher.dispatch(
       {
         origin: `http://${address}`,
@@ -193,6 +207,7 @@
         },
         onResponseError: (_, error) => {
           release();
+          if (!hasReturned) return this.rejectLater(error);
           if (this.isOver) return;
           this.isOver = true;
           const cause = describeError(error);
@@ -200,6 +215,7 @@
         },
       },
     );
+    hasReturned = true;
   }
 }
 
@@ -223,16 +239,24 @@
     handlers: UpstreamHandlers,
   ): UpstreamExchange {
     const exchange = new UpstreamExchange(handlers);
-    if (!request.isSingleUse) {
-      exchange.dispatch(this.agent, request, () => {});
-      return exchange;
+    try {
+      if (request.isSingleUse) this.dispatchOnce(exchange, request);
+      else exchange.dispatch(this.agent, request, () => {});
+    } catch (error) {
+      exchange.rejectLater(error);
     }
-    const client = new Client(`http://${request.address}`, CLIENT_OPTIONS);
-    const release = () => void client.destroy();
-    exchange.dispatch(client, request, release);
     return exchange;
   }
 
+  /** Opens a connection for this request only. */
+  private dispatchOnce(
+    exchange: UpstreamExchange,
+    request: UpstreamRequest,
+  ): void {
+    const client = new Client(`http://${request.address}`, CLIENT_OPTIONS);
+    exchange.dispatch(client, request, () => void client.destroy());
+  }
+
   [Symbol.dispose](): void {
     void this.agent.destroy();
   }
--- a/packages/forwarding/test/upstream_test.ts
+++ b/packages/forwarding/test/upstream_test.ts
@@ -35,7 +35,10 @@
     server.close();
   });
 
-  function send(isSingleUse: boolean): Promise<Outcome> {
+  function send(
+    isSingleUse: boolean,
+    onFailure: () => void = () => {},
+  ): Promise<Outcome> {
     let status = 0;
     const chunks: Buffer[] = [];
     return new Promise(resolve => {
@@ -55,7 +58,10 @@
             const body = Buffer.concat(chunks).toString();
             resolve({kind: 'ended', status, body});
           },
-          onFailure: failure => resolve({kind: 'failed', ...failure}),
+          onFailure: failure => {
+            onFailure();
+            resolve({kind: 'failed', ...failure});
+          },
         },
       );
     });
@@ -113,6 +119,29 @@
     });
   }
 
+  // Guards against an exception in the caller of `send`, which ends the process,
+  // and against a failure that is reported before the exchange is known.
+  for (const invalid of ['127.0.0.1:65536', ':80', 'a b:1']) {
+    it(`reports later that nothing was sent to ${invalid}`, async () => {
+      address = invalid;
+      for (const isSingleUse of [true, false]) {
+        let hasReturned = false;
+        const outcome = new Promise<Outcome>(resolve => {
+          const failed = send(isSingleUse, () => {
+            expect(hasReturned).toEqual(true);
+          });
+          hasReturned = true;
+          resolve(failed);
+        });
+        expect(await outcome).toLooseEqual({
+          kind: 'failed',
+          mayHaveRun: false,
+          cause: expect.a(String),
+        });
+      }
+    });
+  }
+
   it('reports that nothing was sent if the connection is refused', async () => {
     address = '127.0.0.1:1';
     const outcome = await send(true);
