Leave out servers that state layers beyond the model

The layers of a registration or report were only checked to be whole numbers. Finding paths and planning layouts loop over all layers that a server states to hold, and one step of planning counts them in an array. A range up to 1e15, from another writer or a faulty server, stopped the event loop for hours or ended the process for lack of memory, and again after each restart.

Paths and plans now leave out a server with layers that the model does not have; chains and orders are the same as without it.

--- a/packages/forwarding/src/core/fleet/server_capacity.ts
+++ b/packages/forwarding/src/core/fleet/server_capacity.ts
@@ -7,6 +7,19 @@
 
 const BYTES_PER_MB = 1e6;
 
+/**
+ * Whether the model has all layers that the server states to hold. A server
+ * that states others is not used: nothing else that it states can be relied on,
+ * and the time and memory of planning grow with the number of layers.
+ */
+export function holdsOnlyLayersOf(
+  model: ModelSpec,
+  {layers}: BackendServer,
+): boolean {
+  if (!layers) return true;
+  return layers.firstLayer >= 0 && layers.endLayer <= model.layers;
+}
+
 /** Returns how many layers fit beside the KV cache of `tokens` tokens. */
 export function layersThatFit(
   model: ModelSpec,
--- a/packages/forwarding/src/core/paths/find_path.ts
+++ b/packages/forwarding/src/core/paths/find_path.ts
@@ -3,7 +3,7 @@
  * dynamic programming over the layer at which a path stage begins.
  */
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
-import {kvCapacityTokens} from '../fleet/server_capacity.js';
+import {holdsOnlyLayersOf, kvCapacityTokens} from '../fleet/server_capacity.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {IN_ZONE_HOP_MS, stageStepMs} from './stage_step_time.js';
 import type {PathStage, ServerPath} from './server_path.js';
@@ -86,7 +86,8 @@
   // Each server is considered once, in the order of the held layers, so that
   // no path passes a server twice.
   const servers = query.servers
-    .filter(s => s.layers && s.server !== firstStage?.server.server)
+    .filter(s => s.layers && holdsOnlyLayersOf(model, s))
+    .filter(s => s.server !== firstStage?.server.server)
     .sort((a, b) => twiceMiddleLayer(a) - twiceMiddleLayer(b));
   const best: Array<PartialPath | undefined> = new Array(model.layers + 1);
   best[begin] = {
--- a/packages/forwarding/src/core/placement/plan_layout.ts
+++ b/packages/forwarding/src/core/placement/plan_layout.ts
@@ -8,6 +8,7 @@
 import type {ServerId} from '@azurecrank/core';
 import type {BackendServer, LayerRange} from '../fleet/backend_server.js';
 import {
+  holdsOnlyLayersOf,
   layersThatFit,
   kvCapacityTokensBeside,
 } from '../fleet/server_capacity.js';
@@ -70,8 +71,10 @@
   servers: readonly BackendServer[],
   inUse?: LayersInUse,
 ): LayoutOrder[] {
-  const known = servers.filter(({accelerator}) =>
-    model.accelerators.has(accelerator),
+  const known = servers.filter(
+    server =>
+      model.accelerators.has(server.accelerator) &&
+      holdsOnlyLayersOf(model, server),
   );
   const orders: LayoutOrder[] = [];
   for (const zone of zonesOf(known)) {
