Log an unreadable entry once, not with each heartbeat

A warning was logged each time an unreadable value was read. Its writer may write it with each heartbeat, and under new keys, so one odd writer filled the log of every entry.

An entry is now logged once until it is usable or removed.

--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -7,6 +7,7 @@
   type PeerAddress,
 } from '@azurecrank/core';
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
+import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 
 /** Prefix of all keys that entries write. */
 export const ENTRY_STORE_PREFIX = 'azurecrank/';
@@ -23,6 +24,7 @@
 
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
+  private readonly unreadable: UnreadableEntries;
   private lease: Lease | undefined;
   private timer: NodeJS.Timeout | undefined;
   private layoutLeaseExists = false;
@@ -31,7 +33,13 @@
     private readonly keyValue: KeyValueService,
     private readonly node: string,
     private readonly logger: Logger,
-  ) {}
+    private readonly nowMs: () => number,
+  ) {
+    this.unreadable = new UnreadableEntries(
+      logger,
+      'entry registration has no valid address; ignored',
+    );
+  }
 
   /** Addresses of all registered entries, including this one. */
   get entries(): Iterable<PeerAddress> {
@@ -67,19 +75,25 @@
       if (key === LAYOUT_LEASE_KEY)
         this.layoutLeaseExists = value !== undefined;
       if (!key.startsWith(ENTRIES_PREFIX)) continue;
-      if (value === undefined) this.addresses.delete(key);
+      if (value === undefined) this.removeAddress(key);
       else this.setAddress(key, value);
     }
   }
 
   /** Other writers may have stored something else than an address. */
   private setAddress(key: string, value: string): void {
-    if (isSocketAddress(value)) {
-      this.addresses.set(key, value as PeerAddress);
+    if (!isSocketAddress(value)) {
+      this.addresses.delete(key);
+      this.unreadable.report(key, {step: 'address'}, this.nowMs());
       return;
     }
+    this.addresses.set(key, value as PeerAddress);
+    this.unreadable.clear(key);
+  }
+
+  private removeAddress(key: string): void {
     this.addresses.delete(key);
-    this.logger.warn('entry registration has no valid address; ignored', {key});
+    this.unreadable.clear(key);
   }
 
   /** Renews the registration's lease, or registers again; then repeats. */
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -138,7 +138,7 @@
       this.applyTable(table),
     );
     this.directory = this.disposables.add(
-      new EntryDirectory(keyValue, node, logger),
+      new EntryDirectory(keyValue, node, logger, nowMs),
     );
     this.retryBudget = new SharedRetryBudget(nowMs(), {
       ratio: settings.retryRatio,
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -5,6 +5,7 @@
   StoreChange,
   StoreSnapshot,
 } from '../adapter/platform_adapter.js';
+import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 import type {BackendServer} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {PrefixWatcher} from '../fleet/prefix_watcher.js';
@@ -48,11 +49,16 @@
   private readonly table: PrefixWatcher;
   private readonly servers: PrefixWatcher;
   private readonly entries: PrefixWatcher;
+  private readonly unreadableServers: UnreadableEntries;
   private isServerListRead = false;
 
   constructor(private readonly options: StoreWatchersOptions) {
     const {adapter, logger, nowMs, onEntriesSnapshot, onEntriesChanges} =
       options;
+    this.unreadableServers = new UnreadableEntries(
+      logger,
+      'server entry is unreadable; the server is not used',
+    );
     const common = {store: adapter.prefixes, logger, nowMs};
     this.table = this.disposables.add(
       new PrefixWatcher({
@@ -124,6 +130,7 @@
     for (const {key, value} of changes) {
       if (value === undefined) {
         const server = adapter.store.serverIdOf(key);
+        this.unreadableServers.clear(key);
         fleet.remove(server);
         logger.info('server removed', {server});
         continue;
@@ -137,16 +144,15 @@
 
   /** Returns none for an unreadable entry and removes it from the fleet. */
   private decodeServer(entry: {key: string; value: string}): BackendServer[] {
-    const {adapter, fleet, logger} = this.options;
+    const {adapter, fleet, nowMs} = this.options;
     const {key, value} = entry;
     const decoded = adapter.store.decodeServer(key, value);
-    if (decoded.kind === 'decoded') return [decoded.value];
+    if (decoded.kind === 'decoded') {
+      this.unreadableServers.clear(key);
+      return [decoded.value];
+    }
     const {step, cause} = decoded;
-    logger.warn('server entry is unreadable; the server is not used', {
-      key,
-      step,
-      cause,
-    });
+    this.unreadableServers.report(key, {step, cause}, nowMs());
     fleet.remove(adapter.store.serverIdOf(key));
     return [];
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of the forwarding entry. */
 export * from './core/adapter/platform_adapter.js';
+export * from './core/adapter/unreadable_entries.js';
 export * from './core/admission/chain_loads.js';
 export * from './core/admission/choose_chain.js';
 export * from './core/admission/model_admission.js';
