Skip unreadable blocks of prompt parts in the store

The key of a stored block is percent-encoded. `decodeURIComponent` throws on an invalid escape sequence, from within the callback of the watcher. The watcher took that for a failure of the store, read everything again and failed again: the entry followed no more changes of the entries, and logged the store as lost.

Such a key is now skipped and logged.

--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -4,6 +4,7 @@
  */
 import type {KeyValueService, Logger} from '@azurecrank/core';
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
+import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
 import type {PromptPartKey} from './crash_evidence.js';
 import type {PromptQuarantine} from './prompt_quarantine.js';
@@ -39,9 +40,15 @@
   private readonly stored = new Map<PromptPartKey, number>();
   /** Blocks to be written, with the time at which it is this entry's turn. */
   private readonly dueAtMs = new Map<PromptPartKey, number>();
+  private readonly unreadable: UnreadableEntries;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: QuarantineStoreOptions) {}
+  constructor(private readonly options: QuarantineStoreOptions) {
+    this.unreadable = new UnreadableEntries(
+      options.logger,
+      'block of a prompt part is unreadable; ignored',
+    );
+  }
 
   start(): void {
     this.timer = setInterval(() => this.writeDueBlocks(), WRITE_INTERVAL_MS);
@@ -58,19 +65,25 @@
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
-    const {quarantine, nowMs} = this.options;
-    for (const {key, value} of changes) {
-      if (!key.startsWith(BLOCKS_PREFIX)) continue;
-      const part = decodeURIComponent(key.slice(BLOCKS_PREFIX.length));
-      const untilUnixMs = Number(value);
-      if (value === undefined || !Number.isFinite(untilUnixMs)) {
-        this.stored.delete(part as PromptPartKey);
-        continue;
-      }
-      const leftMs = untilUnixMs - Date.now();
-      this.stored.set(part as PromptPartKey, nowMs() + leftMs);
+    for (const change of changes) {
+      if (change.key.startsWith(BLOCKS_PREFIX)) this.applyChange(change);
+    }
+    this.options.quarantine.setStoredBlocks(new Map(this.stored));
+  }
+
+  /** Skips what other writers may have stored under the prefix. */
+  private applyChange({key, value}: StoreChange): void {
+    const {nowMs} = this.options;
+    const part = partOf(key);
+    const untilUnixMs = Number(value);
+    if (part !== undefined) this.stored.delete(part);
+    if (value === undefined) return this.unreadable.clear(key);
+    if (part === undefined || !Number.isFinite(untilUnixMs)) {
+      return this.unreadable.report(key, {step: 'quarantine'}, nowMs());
     }
-    quarantine.setStoredBlocks(new Map(this.stored));
+    const leftMs = Math.min(MAX_LEASE_TTL_MS, untilUnixMs - Date.now());
+    this.stored.set(part, nowMs() + leftMs);
+    this.unreadable.clear(key);
   }
 
   /** Removes the block of a part that a server has answered. */
@@ -139,3 +152,13 @@
 function keyOf(part: PromptPartKey): string {
   return BLOCKS_PREFIX + encodeURIComponent(part);
 }
+
+/** Returns undefined for a key that `keyOf` does not return. */
+function partOf(key: string): PromptPartKey | undefined {
+  try {
+    return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as PromptPartKey;
+  } catch {
+    // The only error is an invalid escape sequence; the caller logs the key.
+    return undefined;
+  }
+}
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -235,6 +235,30 @@
     after.applySnapshot({entries: store.entries, revision: 2});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('free');
   });
+
+  // Guards against an exception that counts as a failure of the store, after
+  // which the same values are read again without end.
+  it('skips values of other writers', () => {
+    const store = new FakeStore();
+    const untilUnixMs = Date.now() + BLOCK_MS;
+    const prefix = 'azurecrank/quarantine/';
+    store.values.set(`${prefix}%zz`, String(untilUnixMs));
+    store.values.set(`${prefix}${encodeURIComponent(OTHER)}`, 'soon');
+    store.values.set(`${prefix}${encodeURIComponent(FIRST)}`, '1e300');
+    store.values.set(
+      `${prefix}${encodeURIComponent(CRASHING)}`,
+      String(untilUnixMs),
+    );
+    const quarantine = new PromptQuarantine(() => {});
+    using blocks = storeOf(store, quarantine);
+    blocks.applySnapshot({entries: store.entries, revision: 1});
+    blocks.applyChanges(store.entries);
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('blocked');
+    expect(quarantine.tryStart([OTHER], 10_000)).toEqual('free');
+    // No entry stores a block that lasts longer.
+    const afterBlockMs = 10_000 + BLOCK_MS + 1;
+    expect(quarantine.tryStart([FIRST], afterBlockMs)).toEqual('free');
+  });
 });
 
 describe('StreamRelay with a prompt that may end servers', () => {
