Bound the engine sizes that layouts are planned with

Without layers, with a layer size of zero or below, or with memory for more copies than there are layers, planning did not end. The platform's store refuses such tables, so nobody has seen this.

--- a/packages/forwarding/src/core/placement/divide_layers.ts
+++ b/packages/forwarding/src/core/placement/divide_layers.ts
@@ -79,11 +79,12 @@
   capacityTokens: number,
 ): number {
   let heldLayers = usedLayers;
-  for (;;) {
+  while (heldLayers < model.layers) {
     const range = {firstLayer: 0, endLayer: heldLayers + 1};
     const withOneMore = {...server, layers: range};
     if (kvCapacityTokens(model, withOneMore, usedLayers) < capacityTokens)
-      return heldLayers;
+      break;
     heldLayers++;
   }
+  return heldLayers;
 }
