Answer all open requests before a stopping entry ends

At the end of the grace time a stopping entry closed all connections. Callers lost the answer to whatever was open: calls that may have run, calls and streams that still waited for a server, and requests whose body was being read. A caller cannot tell these apart, so it must not repeat any that may run only once.

Shortly before the end the entry now ends each request: 503 `leaving` for one that certainly has not run, 502 for one that may have run, and a cut for a stream that has begun, so that it does not look complete. It then waits up to 200 ms until the answers are handed to the network.

--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -62,8 +62,12 @@
 
 export class ForwardingGateway implements Disposable {
   private readonly streams = new Set<StreamRelay>();
+  /** Requests without a whole answer; without a relay while they are read. */
+  private readonly open = new Map<
+    CallerExchange,
+    CallRelay | StreamRelay | undefined
+  >();
   private readonly timer: NodeJS.Timeout;
-  private requestsInFlight = 0;
   private lastCheckMs = 0;
 
   constructor(private readonly options: GatewayOptions) {
@@ -74,28 +78,44 @@
   }
 
   get inFlight(): number {
-    return this.requestsInFlight;
+    return this.open.size;
   }
 
   handle(req: IncomingMessage, res: ServerResponse): void {
     const {wire, nowMs, isDraining} = this.options;
-    this.requestsInFlight++;
-    res.once('close', () => this.requestsInFlight--);
     if (isDraining()) res.shouldKeepAlive = false;
     const metadata = wire.parseCallerHeaders(req.rawHeaders);
     const exchange = new CallerExchange(req, res, metadata, nowMs());
+    this.open.set(exchange, undefined);
+    res.once('close', () => this.open.delete(exchange));
     this.serve(exchange).catch(error => this.failInternally(exchange, error));
   }
 
+  /**
+   * Ends all requests because the process ends. Callers get a refusal for what
+   * has not run and an error for what may have run; a stream that has begun is
+   * cut, so that it does not look complete.
+   */
+  endAllForStop(): void {
+    for (const [exchange, relay] of this.open) {
+      if (relay) relay.endForStop();
+      else if (!exchange.res.headersSent) this.refuseLeaving(exchange);
+    }
+  }
+
   [Symbol.dispose](): void {
     clearInterval(this.timer);
   }
 
+  private refuseLeaving(exchange: CallerExchange): void {
+    this.options.refusals.refuse(exchange, refuse('leaving', 'accept'));
+  }
+
   private async serve(exchange: CallerExchange): Promise<void> {
     const {options} = this;
     const {req, metadata, target, receivedAtMs} = exchange;
     if (options.isDraining() && !options.acceptsRequests()) {
-      return options.refusals.refuse(exchange, refuse('leaving', 'accept'));
+      return this.refuseLeaving(exchange);
     }
     const view = options.currentView();
     const host = req.headers.host ?? '';
@@ -112,13 +132,14 @@
     const read = hasBody(req)
       ? await readBody(req, limits)
       : ({kind: 'whole', body: undefined} as const);
-    if (read.kind === 'left') return;
+    if (read.kind === 'left' || exchange.res.headersSent) return;
     if (read.kind !== 'whole') {
       const reason =
         read.kind === 'late' ? 'request_timeout' : 'body_too_large';
       return options.refusals.refuse(exchange, refuse(reason, 'accept'));
     }
     await nextPoll();
+    if (exchange.res.headersSent) return;
     if (exchange.isDisconnected) {
       return options.calls.logger.info(
         'caller left before its request was read',
@@ -160,7 +181,14 @@
     if (route.kind === 'stream' && model) {
       return this.relayStream(exchange, accepted, service, model);
     }
-    new CallRelay(exchange, accepted, service, this.options.calls).start();
+    const relay = new CallRelay(
+      exchange,
+      accepted,
+      service,
+      this.options.calls,
+    );
+    this.open.set(exchange, relay);
+    relay.start();
   }
 
   private relayStream(
@@ -190,6 +218,7 @@
       onFinished: finished => this.streams.delete(finished),
     });
     this.streams.add(relay);
+    this.open.set(exchange, relay);
     relay.enqueue();
   }
 
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -62,6 +62,10 @@
 /** Interval at which a stopping process checks whether it has drained. */
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
+/** Time to hand the last answers to the network, with the check for it. */
+const LAST_ANSWERS_MS = 200;
+const LAST_ANSWERS_CHECK_INTERVAL_MS = 5;
+
 /** Listen backlog for callers, which reconnect in bursts after an outage. */
 const CALLER_LISTEN_BACKLOG = 1024;
 
@@ -295,7 +299,8 @@
 
   /**
    * Reports not ready, accepts requests until the load balancer has noticed and
-   * ends when no request is in flight or the grace time is over.
+   * ends when no request is in flight. Near the end of the grace time it ends
+   * those that are left with an answer.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
@@ -308,11 +313,15 @@
     const elapsedMs = () => performance.now() - beganMs;
     const isDrained = () =>
       elapsedMs() >= BALANCER_GRACE_MS && this.gateway.inFlight === 0;
-    while (!isDrained() && elapsedMs() < graceMs - STOP_MARGIN_MS) {
-      await new Promise(resolve =>
-        setTimeout(resolve, DRAIN_CHECK_INTERVAL_MS),
-      );
+    while (!isDrained() && elapsedMs() < graceMs - STOP_MARGIN_MS)
+      await sleep(DRAIN_CHECK_INTERVAL_MS);
+    if (this.gateway.inFlight > 0) {
+      this.logger.warn('ending requests', {inFlight: this.gateway.inFlight});
+      this.gateway.endAllForStop();
     }
+    const endMs = elapsedMs() + LAST_ANSWERS_MS;
+    while (this.gateway.inFlight > 0 && elapsedMs() < endMs)
+      await sleep(LAST_ANSWERS_CHECK_INTERVAL_MS);
     this.callerServer?.close();
     this.logger.info('stopped', {inFlight: this.gateway.inFlight});
     this[Symbol.dispose]();
@@ -512,6 +521,10 @@
   }
 }
 
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
 function splitAddress(address: string): [string, number] {
   const separator = address.lastIndexOf(':');
   return [address.slice(0, separator), Number(address.slice(separator + 1))];
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -72,6 +72,8 @@
 /** Minimum retry delay reported to the caller when no server ran the call. */
 const RETRY_AFTER_MS = 100;
 
+const STOP_CAUSE = 'this entry stops';
+
 /** Relays one call, including all its attempts. */
 export class CallRelay {
   private readonly servers: CallServers;
@@ -100,6 +102,23 @@
     this.startAttempt();
   }
 
+  /**
+   * Ends the call because this process ends: with a refusal if it has not run,
+   * else with an error that leaves that open.
+   */
+  endForStop(): void {
+    if (this.isFinished) return;
+    this.clearTimer();
+    const wasSent = this.upstream?.wasSent ?? false;
+    this.upstream?.abort();
+    this.lastCause = STOP_CAUSE;
+    if (this.lastResponse) return this.deliver(this.lastResponse);
+    if (wasSent || this.mayHaveRun) return this.failUnknown({kind: 'broken'});
+    this.isFinished = true;
+    const refusal = refuse('leaving', 'call', {detail: STOP_CAUSE});
+    this.options.refusals.refuse(this.exchange, refusal);
+  }
+
   private startAttempt(): void {
     const {options, accepted, exchange} = this;
     const nowMs = options.nowMs();
@@ -224,6 +243,7 @@
   ) {
     if (this.isFinished) return;
     this.clearTimer();
+    this.upstream = undefined;
     this.lastCause = cause;
     if (kind !== 'not_sent') this.serversReached++;
     this.recordOutcome({kind});
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -190,6 +190,19 @@
     this.options.refusals.refuse(this.exchange, refusal);
   }
 
+  /** Ends the stream because this process ends. */
+  endForStop(): void {
+    if (this.isFinished) return;
+    const wasSent = this.upstream?.wasSent ?? false;
+    this.upstream?.abort();
+    this.admission.remove(this.queuedRequest.request);
+    this.lastCause = 'this entry stops';
+    if (this.isHeadSent) return this.endIncomplete('cut');
+    if (wasSent) this.mayHaveRun = true;
+    if (this.mayHaveRun) return this.endIncomplete('fail');
+    this.refuse('leaving', 0);
+  }
+
   /** Path and last event while a server sends events; undefined otherwise. */
   get progress(): StreamProgress | undefined {
     const isSending =
