Take only requests that a stopping entry can complete

A stopping entry took requests for 3 s, whatever was left of its grace time. With a grace time of 2 s it took them until it ended, and of a request with a limit of 10 s it could not know that it would complete.

New requests are now taken only if they can be expected to complete in the time that is left; the check is repeated when the body has arrived. What ends by its own limit before the entry does is always taken. A call is given the latency target of its route, or twice that if it may not be repeated; a stream its expected duration, or 1.5 times that if it cannot be resumed. Other requests get 503 `leaving` at once, before they are passed on, and go to another entry.

The time kept for the end is at most an eighth of the grace time: 600 ms of 8 s as before, 250 ms of 2 s.

--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -16,10 +16,13 @@
 } from '../relay/stalled_paths.js';
 import {StreamRelay, type StreamRelayOptions} from '../relay/stream_relay.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
-import type {ModelSpec, Route} from '../routing/routing_table.js';
+import {streamDurationMs} from '../paths/chain_throughput.js';
+import type {ServerChain} from '../paths/find_chains.js';
+import type {ModelSpec, Route, RoutingTable} from '../routing/routing_table.js';
 import {acceptRequest, type RoutingView} from './accept_request.js';
 import {CallerExchange, type AcceptedRequest} from './caller_exchange.js';
 import {pickService} from './pick_service.js';
+import {timeToCompleteMs} from './requests_at_stop.js';
 
 export interface GatewayOptions {
   readonly wire: WireCodec;
@@ -36,6 +39,8 @@
    * last phase of a stop, when they could not complete before the process ends.
    */
   readonly acceptsRequests: () => boolean;
+  /** Time until this entry ends open requests; infinite if it does not stop. */
+  readonly remainingMs: () => number;
   readonly nowMs: () => number;
 }
 
@@ -127,6 +132,14 @@
       return;
     }
     const {route, workspace} = decision;
+    const timeoutMs = Math.min(
+      metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      route.timeoutMs,
+    );
+    const deadlineAtMs = receivedAtMs + timeoutMs;
+    const canComplete = () =>
+      this.canComplete(exchange, route, view.table, deadlineAtMs);
+    if (!canComplete()) return this.refuseLeaving(exchange);
     const {maxBodyBytes} = view.table.limits;
     const limits = {maxBodyBytes, bodyTimeoutMs: BODY_TIMEOUT_MS};
     const read = hasBody(req)
@@ -148,10 +161,8 @@
         },
       );
     }
-    const timeoutMs = Math.min(
-      metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
-      route.timeoutMs,
-    );
+    // The time for the body may have used up what was left.
+    if (!canComplete()) return this.refuseLeaving(exchange);
     const accepted: AcceptedRequest = {
       route,
       workspace: workspace?.workspace,
@@ -159,12 +170,39 @@
       stripsApiKey: view.table.workspaces !== undefined,
       table: view.table,
       body: read.body,
-      deadlineAtMs: receivedAtMs + timeoutMs,
+      deadlineAtMs,
     };
     exchange.accepted = accepted;
     this.relay(exchange, accepted);
   }
 
+  /**
+   * Whether the request can be expected to complete before this entry ends it.
+   * If not, it is better refused: it then goes to another entry at once.
+   */
+  private canComplete(
+    exchange: CallerExchange,
+    route: Route,
+    table: RoutingTable,
+    deadlineAtMs: number,
+  ): boolean {
+    const remainingMs = this.options.remainingMs();
+    if (remainingMs === Infinity) return true;
+    const service = pickService(route, exchange.request);
+    const model = table.services.get(service)?.model;
+    const isStream = route.kind === 'stream' && model !== undefined;
+    const streamDurationMs = isStream
+      ? expectedDurationMs(
+          exchange,
+          model,
+          this.options.admissionOf(service).currentChains(),
+        )
+      : undefined;
+    const timeLimitMs = deadlineAtMs - this.options.nowMs();
+    const expected = {route, timeLimitMs, streamDurationMs};
+    return timeToCompleteMs(expected) <= remainingMs;
+  }
+
   /** An error in one request must not end the process and all others. */
   private failInternally(exchange: CallerExchange, error: unknown): void {
     const detail = error instanceof Error ? (error.stack ?? '') : String(error);
@@ -272,12 +310,31 @@
 }
 
 /** Prompt and half of the response: the average KV-cache tokens in use. */
-function expectedTokens({metadata}: CallerExchange, model: ModelSpec): number {
-  const responseTokens = Math.min(
+function expectedTokens(exchange: CallerExchange, model: ModelSpec): number {
+  const responseTokens = expectedResponseTokens(exchange, model);
+  return Math.ceil(exchange.metadata.promptTokens + responseTokens / 2);
+}
+
+function expectedResponseTokens(
+  {metadata}: CallerExchange,
+  model: ModelSpec,
+): number {
+  return Math.min(
     metadata.expectedAnswerTokens ?? model.typicalResponseTokens,
     metadata.maxAnswerTokens || Infinity,
   );
-  return Math.ceil(metadata.promptTokens + responseTokens / 2);
+}
+
+/** Duration on the slowest chain in full use; infinite without a chain. */
+function expectedDurationMs(
+  exchange: CallerExchange,
+  model: ModelSpec,
+  chains: readonly ServerChain[],
+): number {
+  if (chains.length === 0) return Infinity;
+  const typicalMs = Math.max(...chains.map(c => streamDurationMs(model, c)));
+  const responseTokens = expectedResponseTokens(exchange, model);
+  return typicalMs * Math.max(1, responseTokens / model.typicalResponseTokens);
 }
 
 function maxQueueWaitMs({latencyTargetMs}: Route): number {
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -62,8 +62,11 @@
 /** Interval at which a stopping process checks whether it has drained. */
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
-/** Time to hand the last answers to the network, with the check for it. */
-const LAST_ANSWERS_MS = 200;
+/** The same at most as a fraction of a short grace time. */
+const MAX_MARGIN_FRACTION = 1 / 8;
+
+/** Fraction of the margin in which the last answers are handed to the network. */
+const LAST_ANSWERS_FRACTION = 1 / 2;
 const LAST_ANSWERS_CHECK_INTERVAL_MS = 5;
 
 /** Listen backlog for callers, which reconnect in bursts after an outage. */
@@ -108,6 +111,8 @@
   private layoutRunner: LayoutRunner | undefined;
   private readonly storeWatchers: StoreWatchers;
   private stopBeganAtMs = Infinity;
+  /** Time at which a stopping process ends the requests that are left. */
+  private drainEndsAtMs = Infinity;
   private isStopping = false;
   private boundPeerAddress = '' as PeerAddress;
 
@@ -240,6 +245,7 @@
         isDraining: () => this.isStopping,
         acceptsRequests: () =>
           performance.now() - this.stopBeganAtMs < BALANCER_GRACE_MS,
+        remainingMs: () => this.drainEndsAtMs - performance.now(),
         nowMs,
       }),
     );
@@ -308,18 +314,20 @@
     const beganMs = performance.now();
     this.stopBeganAtMs = beganMs;
     const {graceMs} = this.settings;
+    const marginMs = Math.min(STOP_MARGIN_MS, graceMs * MAX_MARGIN_FRACTION);
+    this.drainEndsAtMs = beganMs + graceMs - marginMs;
     this.logger.info('leaving', {inFlight: this.gateway.inFlight});
     this.handOverLayoutLease();
     const elapsedMs = () => performance.now() - beganMs;
     const isDrained = () =>
       elapsedMs() >= BALANCER_GRACE_MS && this.gateway.inFlight === 0;
-    while (!isDrained() && elapsedMs() < graceMs - STOP_MARGIN_MS)
+    while (!isDrained() && performance.now() < this.drainEndsAtMs)
       await sleep(DRAIN_CHECK_INTERVAL_MS);
     if (this.gateway.inFlight > 0) {
       this.logger.warn('ending requests', {inFlight: this.gateway.inFlight});
       this.gateway.endAllForStop();
     }
-    const endMs = elapsedMs() + LAST_ANSWERS_MS;
+    const endMs = elapsedMs() + marginMs * LAST_ANSWERS_FRACTION;
     while (this.gateway.inFlight > 0 && elapsedMs() < endMs)
       await sleep(LAST_ANSWERS_CHECK_INTERVAL_MS);
     this.callerServer?.close();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -15,6 +15,7 @@
 export * from './core/fleet/slow_servers.js';
 export * from './core/gateway/accept_request.js';
 export * from './core/gateway/pick_service.js';
+export * from './core/gateway/requests_at_stop.js';
 export * from './core/paths/chain_throughput.js';
 export * from './core/paths/find_chains.js';
 export * from './core/paths/find_path.js';
