Close kept connections after all answers of a stopping entry

Only requests that arrived after the stop signal were answered with `Connection: close`. The answer to one that was in flight kept its connection open, and the caller sent its next request to the entry that was about to end.

Before, "delivers what servers answer in time" in stopping_entry_test: The value "keep-alive" is not equal to "close". After: 7 passed.

--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -96,6 +96,12 @@
     this.serve(exchange).catch(error => this.failInternally(exchange, error));
   }
 
+  /** Asks callers to reconnect after the answers to all open requests. */
+  closeConnectionsAfterAnswers(): void {
+    for (const {res} of this.open.keys())
+      if (!res.headersSent) res.shouldKeepAlive = false;
+  }
+
   /**
    * Ends all requests because the process ends. Callers get a refusal for what
    * has not run and an error for what may have run; a stream that has begun is
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -317,6 +317,7 @@
     const marginMs = Math.min(STOP_MARGIN_MS, graceMs * MAX_MARGIN_FRACTION);
     this.drainEndsAtMs = beganMs + graceMs - marginMs;
     this.logger.info('leaving', {inFlight: this.gateway.inFlight});
+    this.gateway.closeConnectionsAfterAnswers();
     this.handOverLayoutLease();
     const elapsedMs = () => performance.now() - beganMs;
     const isDrained = () =>
