Refuse at once what waits too long at a stopping entry

Calls that waited for the end of a hold, and streams in the queue, stayed there until the entry ended, although too little time was left to complete them. Their callers lost that time. They now get 503 `leaving` as soon as that is so.

Before, the extended test of calls that wait for a hold: one request was left at the end where none is expected; 6 passed, 1 failed. After: 7 passed.

--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -96,6 +96,17 @@
     this.serve(exchange).catch(error => this.failInternally(exchange, error));
   }
 
+  /** Refuses what still waits and cannot complete before this entry ends. */
+  refuseWaiting(): void {
+    for (const [exchange, relay] of this.open) {
+      const {accepted} = exchange;
+      if (!accepted || !relay?.isWaiting) continue;
+      const {route, table, deadlineAtMs} = accepted;
+      if (!this.canComplete(exchange, route, table, deadlineAtMs))
+        relay.endForStop();
+    }
+  }
+
   /** Asks callers to reconnect after the answers to all open requests. */
   closeConnectionsAfterAnswers(): void {
     for (const {res} of this.open.keys())
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -322,8 +322,10 @@
     const elapsedMs = () => performance.now() - beganMs;
     const isDrained = () =>
       elapsedMs() >= BALANCER_GRACE_MS && this.gateway.inFlight === 0;
-    while (!isDrained() && performance.now() < this.drainEndsAtMs)
+    while (!isDrained() && performance.now() < this.drainEndsAtMs) {
+      this.gateway.refuseWaiting();
       await sleep(DRAIN_CHECK_INTERVAL_MS);
+    }
     if (this.gateway.inFlight > 0) {
       this.logger.warn('ending requests', {inFlight: this.gateway.inFlight});
       this.gateway.endAllForStop();
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -102,6 +102,12 @@
     this.startAttempt();
   }
 
+  /** Whether the call has not run and is not with a server. */
+  get isWaiting(): boolean {
+    const isRunning = this.upstream !== undefined || this.mayHaveRun;
+    return !this.isFinished && !isRunning && !this.lastResponse;
+  }
+
   /**
    * Ends the call because this process ends: with a refusal if it has not run,
    * else with an error that leaves that open.
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -190,6 +190,12 @@
     this.options.refusals.refuse(this.exchange, refusal);
   }
 
+  /** Whether the stream has not run and is not with a server. */
+  get isWaiting(): boolean {
+    const hasBegun = this.isHeadSent || this.mayHaveRun;
+    return !this.isFinished && !hasBegun && this.path.length === 0;
+  }
+
   /** Ends the stream because this process ends. */
   endForStop(): void {
     if (this.isFinished) return;
