Log a peer that cannot be reached once

An entry reports to all listed entries five times a second and logged each failed connection. An address in the store at which no entry listens, of a process that has ended or of another writer, filled the log of every entry. It is now logged once until the peer is heard of or listed anew.

--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -87,6 +87,8 @@
   private readonly peers: PeerNode;
   private readonly timer: NodeJS.Timeout;
   private readonly knownPeers = new Set<PeerAddress>();
+  /** Peers that were logged as down and have not been heard of since. */
+  private readonly unreachable = new Set<PeerAddress>();
   private readonly lastSharesByPeer = new Map<
     string,
     {readonly atMs: number; readonly isStopping: boolean}
@@ -100,8 +102,11 @@
       {
         versions: () => this.versions(),
         onMessage: (message, link) => this.handleMessage(message, link),
-        onPeerDown: (address, cause) =>
-          logger.info('peer cannot be reached', {peer: address, cause}),
+        onPeerDown: (address, cause) => {
+          if (this.unreachable.has(address)) return;
+          this.unreachable.add(address);
+          logger.info('peer cannot be reached', {peer: address, cause});
+        },
       },
     );
     this.timer = setInterval(() => this.broadcastShares(), SHARES_INTERVAL_MS);
@@ -118,6 +123,9 @@
     for (const address of addresses) {
       if (address !== this.peers.address) this.knownPeers.add(address);
     }
+    for (const address of this.unreachable) {
+      if (!this.knownPeers.has(address)) this.unreachable.delete(address);
+    }
   }
 
   /** Sends this entry's state to all known entries. */
@@ -195,6 +203,7 @@
   }
 
   private handleMessage(message: Message, link: PeerLink): void {
+    this.unreachable.delete(link.address);
     switch (message.type) {
       case 'ping':
         link.send({type: 'pong', seq: message.seq, ...this.versions()});
--- a/packages/forwarding/test/entry_mesh_test.ts
+++ b/packages/forwarding/test/entry_mesh_test.ts
@@ -1,5 +1,7 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
-import {Logger, type InstanceId} from '@azurecrank/core';
+import {Logger, type InstanceId, type PeerAddress} from '@azurecrank/core';
 import {
   ChainLoads,
   EntryMesh,
@@ -24,6 +26,7 @@
   readonly limits: SharedServerLimits;
   readonly fleet = new FleetView();
   serversLost = 0;
+  readonly lines: string[] = [];
   readonly mesh: EntryMesh;
 
   constructor(node: string) {
@@ -47,7 +50,7 @@
       quarantine: this.quarantine,
       limits: this.limits,
       fleet: this.fleet,
-      logger: new Logger(node, 'silent'),
+      logger: new Logger(node, 'info', line => this.lines.push(line)),
       nowMs,
       peerQueues: new PeerQueues(),
       queues: () => [],
@@ -128,4 +131,32 @@
     a.limits.observe(ADDRESS, undefined, performance.now());
     await waitUntil('limit gone', maySend);
   });
+
+  // Guards against a line in the log for each report to an address at which no
+  // entry listens, as one in the store may be.
+  it('logs a peer that cannot be reached once', async () => {
+    using alone = new MeshEntry('alone');
+    const listener = new MeshEntry('listener');
+    const address = await listener.mesh.listen('127.0.0.1', 0);
+    listener[Symbol.dispose]();
+    alone.mesh.setPeers([address]);
+    for (let i = 0; i < 10; i++) {
+      alone.mesh.broadcastShares();
+      await connectionRefused(address);
+    }
+    const logged = () =>
+      alone.lines.filter(line => line.includes('cannot be reached')).length;
+    await waitUntil('peer logged', () => logged() > 0);
+    expect(logged()).toEqual(1);
+    // A peer that is listed anew is logged anew.
+    alone.mesh.setPeers([]);
+    alone.mesh.setPeers([address]);
+    alone.mesh.broadcastShares();
+    await waitUntil('peer logged again', () => logged() === 2);
+  });
 });
+
+async function connectionRefused(address: PeerAddress): Promise<void> {
+  const [host, port] = address.split(':');
+  await once(connect({host, port: Number(port)}), 'error');
+}
