--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -16,10 +16,13 @@
 } from '../relay/stalled_paths.js';
 import {StreamRelay, type StreamRelayOptions} from '../relay/stream_relay.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
-import type {ModelSpec, Route} from '../routing/routing_table.js';
+import {streamDurationMs} from '../paths/chain_throughput.js';
+import type {ServerChain} from '../paths/find_chains.js';
+import type {ModelSpec, Route, RoutingTable} from '../routing/routing_table.js';
 import {acceptRequest, type RoutingView} from './accept_request.js';
 import {CallerExchange, type AcceptedRequest} from './caller_exchange.js';
 import {pickService} from './pick_service.js';
+import {timeToCompleteMs} from './requests_at_stop.js';
 
 export interface GatewayOptions {
   readonly wire: WireCodec;
@@ -36,6 +39,8 @@
    * last phase of a stop, when they could not complete before the process ends.
    */
   readonly acceptsRequests: () => boolean;
+  /** Time until this entry ends open requests; infinite if it does not stop. */
+  readonly remainingMs: () => number;
   readonly nowMs: () => number;
 }
 
@@ -62,8 +67,12 @@
 
 export class ForwardingGateway implements Disposable {
   private readonly streams = new Set<StreamRelay>();
+  /** Requests without a whole answer; without a relay while they are read. */
+  private readonly open = new Map<
+    CallerExchange,
+    CallRelay | StreamRelay | undefined
+  >();
   private readonly timer: NodeJS.Timeout;
-  private requestsInFlight = 0;
   private lastCheckMs = 0;
 
   constructor(private readonly options: GatewayOptions) {
@@ -74,28 +83,61 @@
   }
 
   get inFlight(): number {
-    return this.requestsInFlight;
+    return this.open.size;
   }
 
   handle(req: IncomingMessage, res: ServerResponse): void {
     const {wire, nowMs, isDraining} = this.options;
-    this.requestsInFlight++;
-    res.once('close', () => this.requestsInFlight--);
     if (isDraining()) res.shouldKeepAlive = false;
     const metadata = wire.parseCallerHeaders(req.rawHeaders);
     const exchange = new CallerExchange(req, res, metadata, nowMs());
-    void this.serve(exchange);
+    this.open.set(exchange, undefined);
+    res.once('close', () => this.open.delete(exchange));
+    this.serve(exchange).catch(error => this.failInternally(exchange, error));
+  }
+
+  /** Refuses what still waits and cannot complete before this entry ends. */
+  refuseWaiting(): void {
+    for (const [exchange, relay] of this.open) {
+      const {accepted} = exchange;
+      if (!accepted || !relay?.isWaiting) continue;
+      const {route, table, deadlineAtMs} = accepted;
+      if (!this.canComplete(exchange, route, table, deadlineAtMs))
+        relay.endForStop();
+    }
+  }
+
+  /** Asks callers to reconnect after the answers to all open requests. */
+  closeConnectionsAfterAnswers(): void {
+    for (const {res} of this.open.keys())
+      if (!res.headersSent) res.shouldKeepAlive = false;
+  }
+
+  /**
+   * Ends all requests because the process ends. Callers get a refusal for what
+   * has not run and an error for what may have run; a stream that has begun is
+   * cut, so that it does not look complete.
+   */
+  endAllForStop(): void {
+    for (const [exchange, relay] of this.open) {
+      if (relay) relay.endForStop();
+      else if (!exchange.res.headersSent) this.refuseLeaving(exchange);
+    }
   }
 
   [Symbol.dispose](): void {
     clearInterval(this.timer);
   }
 
+  private refuseLeaving(exchange: CallerExchange): void {
+    this.options.refusals.refuse(exchange, refuse('leaving', 'accept'));
+  }
+
   private async serve(exchange: CallerExchange): Promise<void> {
     const {options} = this;
     const {req, metadata, target, receivedAtMs} = exchange;
     if (options.isDraining() && !options.acceptsRequests()) {
-      return options.refusals.refuse(exchange, refuse('leaving', 'accept'));
+      return this.refuseLeaving(exchange);
     }
     const view = options.currentView();
     const host = req.headers.host ?? '';
@@ -107,18 +149,27 @@
       return;
     }
     const {route, workspace} = decision;
+    const timeoutMs = Math.min(
+      metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      route.timeoutMs,
+    );
+    const deadlineAtMs = receivedAtMs + timeoutMs;
+    const canComplete = () =>
+      this.canComplete(exchange, route, view.table, deadlineAtMs);
+    if (!canComplete()) return this.refuseLeaving(exchange);
     const {maxBodyBytes} = view.table.limits;
     const limits = {maxBodyBytes, bodyTimeoutMs: BODY_TIMEOUT_MS};
     const read = hasBody(req)
       ? await readBody(req, limits)
       : ({kind: 'whole', body: undefined} as const);
-    if (read.kind === 'left') return;
+    if (read.kind === 'left' || exchange.res.headersSent) return;
     if (read.kind !== 'whole') {
       const reason =
         read.kind === 'late' ? 'request_timeout' : 'body_too_large';
       return options.refusals.refuse(exchange, refuse(reason, 'accept'));
     }
     await nextPoll();
+    if (exchange.res.headersSent) return;
     if (exchange.isDisconnected) {
       return options.calls.logger.info(
         'caller left before its request was read',
@@ -127,10 +178,8 @@
         },
       );
     }
-    const timeoutMs = Math.min(
-      metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
-      route.timeoutMs,
-    );
+    // The time for the body may have used up what was left.
+    if (!canComplete()) return this.refuseLeaving(exchange);
     const accepted: AcceptedRequest = {
       route,
       workspace: workspace?.workspace,
@@ -138,12 +187,47 @@
       stripsApiKey: view.table.workspaces !== undefined,
       table: view.table,
       body: read.body,
-      deadlineAtMs: receivedAtMs + timeoutMs,
+      deadlineAtMs,
     };
     exchange.accepted = accepted;
     this.relay(exchange, accepted);
   }
 
+  /**
+   * Whether the request can be expected to complete before this entry ends it.
+   * If not, it is better refused: it then goes to another entry at once.
+   */
+  private canComplete(
+    exchange: CallerExchange,
+    route: Route,
+    table: RoutingTable,
+    deadlineAtMs: number,
+  ): boolean {
+    const remainingMs = this.options.remainingMs();
+    if (remainingMs === Infinity) return true;
+    const service = pickService(route, exchange.request);
+    const model = table.services.get(service)?.model;
+    const isStream = route.kind === 'stream' && model !== undefined;
+    const streamDurationMs = isStream
+      ? expectedDurationMs(
+          exchange,
+          model,
+          this.options.admissionOf(service).currentChains(),
+        )
+      : undefined;
+    const timeLimitMs = deadlineAtMs - this.options.nowMs();
+    const expected = {route, timeLimitMs, streamDurationMs};
+    return timeToCompleteMs(expected) <= remainingMs;
+  }
+
+  /** An error in one request must not end the process and all others. */
+  private failInternally(exchange: CallerExchange, error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? '') : String(error);
+    const options = {ran: 'unknown', detail} as const;
+    const refusal = refuse('internal_error', 'accept', options);
+    this.options.refusals.refuse(exchange, refusal);
+  }
+
   private relay(exchange: CallerExchange, accepted: AcceptedRequest): void {
     const {route, table} = accepted;
     const service = pickService(route, exchange.request);
@@ -152,7 +236,14 @@
     if (route.kind === 'stream' && model) {
       return this.relayStream(exchange, accepted, service, model);
     }
-    new CallRelay(exchange, accepted, service, this.options.calls).start();
+    const relay = new CallRelay(
+      exchange,
+      accepted,
+      service,
+      this.options.calls,
+    );
+    this.open.set(exchange, relay);
+    relay.start();
   }
 
   private relayStream(
@@ -182,6 +273,7 @@
       onFinished: finished => this.streams.delete(finished),
     });
     this.streams.add(relay);
+    this.open.set(exchange, relay);
     relay.enqueue();
   }
 
@@ -235,12 +327,31 @@
 }
 
 /** Prompt and half of the response: the average KV-cache tokens in use. */
-function expectedTokens({metadata}: CallerExchange, model: ModelSpec): number {
-  const responseTokens = Math.min(
+function expectedTokens(exchange: CallerExchange, model: ModelSpec): number {
+  const responseTokens = expectedResponseTokens(exchange, model);
+  return Math.ceil(exchange.metadata.promptTokens + responseTokens / 2);
+}
+
+function expectedResponseTokens(
+  {metadata}: CallerExchange,
+  model: ModelSpec,
+): number {
+  return Math.min(
     metadata.expectedAnswerTokens ?? model.typicalResponseTokens,
     metadata.maxAnswerTokens || Infinity,
   );
-  return Math.ceil(metadata.promptTokens + responseTokens / 2);
+}
+
+/** Duration on the slowest chain in full use; infinite without a chain. */
+function expectedDurationMs(
+  exchange: CallerExchange,
+  model: ModelSpec,
+  chains: readonly ServerChain[],
+): number {
+  if (chains.length === 0) return Infinity;
+  const typicalMs = Math.max(...chains.map(c => streamDurationMs(model, c)));
+  const responseTokens = expectedResponseTokens(exchange, model);
+  return typicalMs * Math.max(1, responseTokens / model.typicalResponseTokens);
 }
 
 function maxQueueWaitMs({latencyTargetMs}: Route): number {
--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -1,11 +1,13 @@
 /** Registers this entry in the store and tracks the other entries. */
 import {
+  isSocketAddress,
   type KeyValueService,
   type Lease,
   type Logger,
   type PeerAddress,
 } from '@azurecrank/core';
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
+import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 
 /** Prefix of all keys that entries write. */
 export const ENTRY_STORE_PREFIX = 'azurecrank/';
@@ -22,6 +24,7 @@
 
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
+  private readonly unreadable: UnreadableEntries;
   private lease: Lease | undefined;
   private timer: NodeJS.Timeout | undefined;
   private layoutLeaseExists = false;
@@ -30,7 +33,13 @@
     private readonly keyValue: KeyValueService,
     private readonly node: string,
     private readonly logger: Logger,
-  ) {}
+    private readonly nowMs: () => number,
+  ) {
+    this.unreadable = new UnreadableEntries(
+      logger,
+      'entry registration has no valid address; ignored',
+    );
+  }
 
   /** Addresses of all registered entries, including this one. */
   get entries(): Iterable<PeerAddress> {
@@ -66,11 +75,27 @@
       if (key === LAYOUT_LEASE_KEY)
         this.layoutLeaseExists = value !== undefined;
       if (!key.startsWith(ENTRIES_PREFIX)) continue;
-      if (value === undefined) this.addresses.delete(key);
-      else this.addresses.set(key, value as PeerAddress);
+      if (value === undefined) this.removeAddress(key);
+      else this.setAddress(key, value);
     }
   }
 
+  /** Other writers may have stored something else than an address. */
+  private setAddress(key: string, value: string): void {
+    if (!isSocketAddress(value)) {
+      this.addresses.delete(key);
+      this.unreadable.report(key, {step: 'address'}, this.nowMs());
+      return;
+    }
+    this.addresses.set(key, value as PeerAddress);
+    this.unreadable.clear(key);
+  }
+
+  private removeAddress(key: string): void {
+    this.addresses.delete(key);
+    this.unreadable.clear(key);
+  }
+
   /** Renews the registration's lease, or registers again; then repeats. */
   private async renewRegistration(address: PeerAddress): Promise<void> {
     try {
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -62,6 +62,13 @@
 /** Interval at which a stopping process checks whether it has drained. */
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
+/** The same at most as a fraction of a short grace time. */
+const MAX_MARGIN_FRACTION = 1 / 8;
+
+/** Fraction of the margin in which the last answers are handed to the network. */
+const LAST_ANSWERS_FRACTION = 1 / 2;
+const LAST_ANSWERS_CHECK_INTERVAL_MS = 5;
+
 /** Listen backlog for callers, which reconnect in bursts after an outage. */
 const CALLER_LISTEN_BACKLOG = 1024;
 
@@ -104,6 +111,8 @@
   private layoutRunner: LayoutRunner | undefined;
   private readonly storeWatchers: StoreWatchers;
   private stopBeganAtMs = Infinity;
+  /** Time at which a stopping process ends the requests that are left. */
+  private drainEndsAtMs = Infinity;
   private isStopping = false;
   private boundPeerAddress = '' as PeerAddress;
 
@@ -138,7 +147,7 @@
       this.applyTable(table),
     );
     this.directory = this.disposables.add(
-      new EntryDirectory(keyValue, node, logger),
+      new EntryDirectory(keyValue, node, logger, nowMs),
     );
     this.retryBudget = new SharedRetryBudget(nowMs(), {
       ratio: settings.retryRatio,
@@ -236,6 +245,7 @@
         isDraining: () => this.isStopping,
         acceptsRequests: () =>
           performance.now() - this.stopBeganAtMs < BALANCER_GRACE_MS,
+        remainingMs: () => this.drainEndsAtMs - performance.now(),
         nowMs,
       }),
     );
@@ -295,7 +305,8 @@
 
   /**
    * Reports not ready, accepts requests until the load balancer has noticed and
-   * ends when no request is in flight or the grace time is over.
+   * ends when no request is in flight. Near the end of the grace time it ends
+   * those that are left with an answer.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
@@ -303,16 +314,25 @@
     const beganMs = performance.now();
     this.stopBeganAtMs = beganMs;
     const {graceMs} = this.settings;
+    const marginMs = Math.min(STOP_MARGIN_MS, graceMs * MAX_MARGIN_FRACTION);
+    this.drainEndsAtMs = beganMs + graceMs - marginMs;
     this.logger.info('leaving', {inFlight: this.gateway.inFlight});
+    this.gateway.closeConnectionsAfterAnswers();
     this.handOverLayoutLease();
     const elapsedMs = () => performance.now() - beganMs;
     const isDrained = () =>
       elapsedMs() >= BALANCER_GRACE_MS && this.gateway.inFlight === 0;
-    while (!isDrained() && elapsedMs() < graceMs - STOP_MARGIN_MS) {
-      await new Promise(resolve =>
-        setTimeout(resolve, DRAIN_CHECK_INTERVAL_MS),
-      );
+    while (!isDrained() && performance.now() < this.drainEndsAtMs) {
+      this.gateway.refuseWaiting();
+      await sleep(DRAIN_CHECK_INTERVAL_MS);
+    }
+    if (this.gateway.inFlight > 0) {
+      this.logger.warn('ending requests', {inFlight: this.gateway.inFlight});
+      this.gateway.endAllForStop();
     }
+    const endMs = elapsedMs() + marginMs * LAST_ANSWERS_FRACTION;
+    while (this.gateway.inFlight > 0 && elapsedMs() < endMs)
+      await sleep(LAST_ANSWERS_CHECK_INTERVAL_MS);
     this.callerServer?.close();
     this.logger.info('stopped', {inFlight: this.gateway.inFlight});
     this[Symbol.dispose]();
@@ -512,6 +532,10 @@
   }
 }
 
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
 function splitAddress(address: string): [string, number] {
   const separator = address.lastIndexOf(':');
   return [address.slice(0, separator), Number(address.slice(separator + 1))];
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of the forwarding entry. */
 export * from './core/adapter/platform_adapter.js';
+export * from './core/adapter/unreadable_entries.js';
 export * from './core/admission/chain_loads.js';
 export * from './core/admission/choose_chain.js';
 export * from './core/admission/interrupted_streams.js';
@@ -15,6 +16,7 @@
 export * from './core/fleet/slow_servers.js';
 export * from './core/gateway/accept_request.js';
 export * from './core/gateway/pick_service.js';
+export * from './core/gateway/requests_at_stop.js';
 export * from './core/paths/chain_throughput.js';
 export * from './core/paths/find_chains.js';
 export * from './core/paths/find_path.js';
