Read prefixes again after a restore of the store

A watch that went on from a revision of the lost history missed what had changed below it once the new history had passed that revision: there is no status 410 then. A watch that waited on a connection from before the restore was not answered until its timeout, 8.7 s.

--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -129,8 +129,11 @@
       readonly changes: readonly StoreChange[];
       readonly revision: number;
     }
-  /** The revision was compacted; the whole prefix has to be read again. */
-  | {readonly kind: 'compacted'};
+  /**
+   * The store no longer has the changes after the revision, because it was
+   * compacted or restored; the whole prefix has to be read again.
+   */
+  | {readonly kind: 'history_lost'};
 
 /** Reads and watches all keys with a prefix in the store of the platform. */
 export abstract class PrefixStore {
--- a/packages/forwarding/src/core/fleet/prefix_watcher.ts
+++ b/packages/forwarding/src/core/fleet/prefix_watcher.ts
@@ -1,6 +1,6 @@
 /**
  * Reads a prefix of the store and watches it for changes. Reads all of it again
- * after an outage of the store, and when the watch history was compacted.
+ * after an outage of the store, and when the store has lost the history.
  */
 import type {Logger} from '@azurecrank/core';
 import type {
@@ -96,9 +96,9 @@
     );
     if (signal.aborted) return revision;
     this.recordResponse();
-    if (outcome.kind === 'compacted') {
+    if (outcome.kind === 'history_lost') {
       this.options.logger.warn(
-        'watch history was compacted; reading the whole prefix again',
+        'watch history is lost; reading the whole prefix again',
         {prefix},
       );
       return undefined;
