Let the holder of a lost lease acquire it again at once

After a restore of the store the key of the layout lease may be back with a lease that nobody renews: that of the holder itself or of a former one. The holder noticed that its lease was lost and waited with all others for the old one to expire; meanwhile nobody gave orders.

`LeaseHolder` remembers its last fencing number, unless it has handed the lease over or knows of a newer holder. A stored value with the same or a lower number is its own or was restored, since numbers rise with each holder; it replaces such a value by compare-and-swap at its revision. It does so in the call that finds the lease lost. The rule covers values of former holders too, as their lease may be the one that the copy has.

--- a/packages/azurecrank/src/core/placement/lease_holder.ts
+++ b/packages/azurecrank/src/core/placement/lease_holder.ts
@@ -24,6 +24,12 @@
     {},
   );
   private lease: Lease | undefined;
+  /**
+   * Fencing number of the last lease, unless another process is known to hold a
+   * newer one. Lower or equal numbers in the stored value are from this holder
+   * or from earlier ones.
+   */
+  private lastFence: number | undefined;
 
   constructor(
     private readonly keyValue: KeyValueService,
@@ -48,8 +54,7 @@
 
   /** Starts to use a lease that its former holder has handed over. */
   acceptHandover(lease: Lease): void {
-    this.lease = lease;
-    this.runner.send({type: 'acquired'});
+    this.hold(lease);
     this.logger.info('took over the placement lease', {fence: lease.fence});
   }
 
@@ -63,26 +68,37 @@
   /** Stops using the lease, which another process is known to hold. */
   stepDown(): void {
     this.lease = undefined;
+    this.lastFence = undefined;
     this.runner.send({type: 'lost'});
   }
 
-  /** Acquires or renews the lease; returns whether it is held. */
+  /**
+   * Acquires or renews the lease; returns whether it is held. A lease that is
+   * lost is acquired again at once, also if the key remains: a restore of the
+   * service may bring it back, with a lease that nobody renews.
+   */
   async acquireOrRenew(): Promise<boolean> {
-    if (this.lease) return this.renew(this.lease);
+    const {lease} = this;
+    if (!lease) return this.acquire();
+    if (await this.renew(lease)) return true;
+    // Undefined if the lease was handed over during the call.
+    return this.lastFence !== undefined && this.acquire();
+  }
+
+  private async acquire(): Promise<boolean> {
     const current = await this.keyValue.get(this.key);
-    if (current) return false;
+    if (current && !this.isReplaceable(current.value)) return false;
     const lease = await this.keyValue.grantLease(this.ttlMs);
     const value = JSON.stringify({node: this.node, fence: lease.fence});
     const outcome = await this.keyValue.compareAndSwap(
       this.key,
       value,
-      0,
+      current?.revision ?? 0,
       lease,
     );
     // If the answer is lost, a lease remains that nobody renews; it expires.
     if (outcome.kind !== 'written') return false;
-    this.lease = lease;
-    this.runner.send({type: 'acquired'});
+    this.hold(lease);
     this.logger.info('acquired the placement lease', {fence: lease.fence});
     return true;
   }
@@ -92,6 +108,18 @@
     if (this.lease) await this.keyValue.revokeLease(this.lease);
   }
 
+  private hold(lease: Lease): void {
+    this.lease = lease;
+    this.lastFence = lease.fence;
+    this.runner.send({type: 'acquired'});
+  }
+
+  /** Whether no later holder than this process has written the value. */
+  private isReplaceable(value: string): boolean {
+    const fence = parseFence(value);
+    return fence !== undefined && fence <= (this.lastFence ?? -Infinity);
+  }
+
   private async renew(lease: Lease): Promise<boolean> {
     const isAlive = await this.keyValue.keepLeaseAlive(lease);
     this.runner.send({type: isAlive ? 'renewed' : 'lost'});
@@ -102,3 +130,13 @@
     return isAlive;
   }
 }
+
+/** Returns the fencing number in a stored value; undefined if unreadable. */
+function parseFence(value: string): number | undefined {
+  try {
+    const {fence} = JSON.parse(value) as {fence?: unknown};
+    return typeof fence === 'number' ? fence : undefined;
+  } catch {
+    return undefined;
+  }
+}
