Refresh the layout lease when the store was restored

A holder that had not noticed the restore ordered with its old fencing number for up to a second, and the log did not tell of the restore.

`PrefixStore.onRestore` tells of each new era with the first response that shows it. The entry logs both eras once, and the layout runner refreshes its lease before it acts on what was read from the restored store.

Before: `go on when the copy has the key of a former holder` red, an order with the same number as before. After: it passes.

--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -135,6 +135,15 @@
    */
   | {readonly kind: 'history_lost'};
 
+/**
+ * The store came back from an older copy. It has lost later writes and all
+ * later leases, and what it counts as its next era has begun.
+ */
+export interface StoreRestore {
+  readonly previousEra: number;
+  readonly era: number;
+}
+
 /** Reads and watches all keys with a prefix in the store of the platform. */
 export abstract class PrefixStore {
   /**
@@ -153,6 +162,12 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<WatchOutcome>;
+
+  /**
+   * Calls the listener once for each restore of the store, with the first
+   * response that shows it, until the result is disposed.
+   */
+  abstract onRestore(listener: (restore: StoreRestore) => void): Disposable;
 }
 
 /** Keys and formats of what the platform stores. */
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -134,6 +134,12 @@
     this.schedule(0);
   }
 
+  /** Renews the lease, or acquires it again, with the next check. */
+  refreshLeaseNow(): void {
+    this.refreshedAtMs = -Infinity;
+    this.checkNow();
+  }
+
   private schedule(delayMs: number): void {
     if (this.isStopped) return;
     this.timer = setTimeout(() => void this.runCheck(), delayMs);
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -246,6 +246,7 @@
         tableHolder: this.tableHolder,
         logger,
         nowMs,
+        onRestore: () => this.layoutRunner?.refreshLeaseNow(),
         onServersChange: () => this.handleFleetChange(),
         onEntriesSnapshot: snapshot => {
           this.directory.applySnapshot(snapshot);
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -17,6 +17,8 @@
   readonly tableHolder: TableHolder;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Called when the store was restored from an older copy. */
+  readonly onRestore: () => void;
   /** Called after the servers of the fleet have changed. */
   readonly onServersChange: () => void;
   /** Called with all that entries have stored. */
@@ -53,6 +55,15 @@
   constructor(private readonly options: StoreWatchersOptions) {
     const {adapter, logger, nowMs, onEntriesSnapshot, onEntriesChanges} =
       options;
+    this.disposables.add(
+      adapter.prefixes.onRestore(({previousEra, era}) => {
+        logger.warn('store was restored from an older copy', {
+          previousEra,
+          era,
+        });
+        options.onRestore();
+      }),
+    );
     const common = {store: adapter.prefixes, logger, nowMs};
     this.table = this.disposables.add(
       new PrefixWatcher({
