Register entries again soon after a restore of the store

The registration of an entry could be missing in the restored store until its next renewal, up to 4 s, and for longer if the id of its lease was given out again: peers and entries that start did not know of the entry.

The directory registers again within a second of the first response that shows the restore, spread at random, and goes on at that interval while it fails.

Before: `registers an entry again` red, not within 8 s at first and after 4.0 s with the leases of earlier eras ended.

--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -20,10 +20,18 @@
 /** A third of the TTL, so that two renewals may fail before it expires. */
 const REGISTRATION_RENEWAL_INTERVAL_MS = 4000;
 
+/** Span over which the entries register again after a restore of the store. */
+const RESTORE_SPREAD_MS = 1000;
+
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
+  private address = '' as PeerAddress;
   private lease: Lease | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+  private isRenewing = false;
+  /** Whether the store was restored since the registration was written. */
+  private isRestored = false;
   private layoutLeaseExists = false;
 
   constructor(
@@ -48,11 +56,21 @@
   }
 
   start(address: PeerAddress): void {
-    void this.renewRegistration(address);
+    this.address = address;
+    void this.renewRegistration();
   }
 
   [Symbol.dispose](): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Registers soon again, as the store may have lost the registration. */
+  handleRestore(): void {
+    this.isRestored = true;
+    if (this.isRenewing || this.timer === undefined) return;
     clearTimeout(this.timer);
+    this.scheduleRenewal();
   }
 
   applySnapshot({entries}: StoreSnapshot): void {
@@ -72,25 +90,36 @@
   }
 
   /** Renews the registration's lease, or registers again; then repeats. */
-  private async renewRegistration(address: PeerAddress): Promise<void> {
+  private async renewRegistration(): Promise<void> {
+    const {isRestored} = this;
+    this.isRenewing = true;
+    this.isRestored = false;
     try {
       const isLeaseAlive =
         this.lease && (await this.keyValue.keepLeaseAlive(this.lease));
-      if (!isLeaseAlive) await this.register(address);
+      if (!isLeaseAlive) await this.register();
     } catch (error) {
       this.logger.warn('entry registration could not be renewed; retrying', {
         step: 'register',
         cause: String(error),
       });
     }
-    this.timer = setTimeout(
-      () => void this.renewRegistration(address),
-      REGISTRATION_RENEWAL_INTERVAL_MS,
-    );
+    this.isRenewing = false;
+    if (isRestored && !this.lease) this.isRestored = true;
+    this.scheduleRenewal();
+  }
+
+  private scheduleRenewal(): void {
+    if (this.isStopped) return;
+    const delayMs = this.isRestored
+      ? Math.random() * RESTORE_SPREAD_MS
+      : REGISTRATION_RENEWAL_INTERVAL_MS;
+    this.timer = setTimeout(() => void this.renewRegistration(), delayMs);
     this.timer.unref();
   }
 
-  private async register(address: PeerAddress): Promise<void> {
+  private async register(): Promise<void> {
+    const {address} = this;
     const key = ENTRIES_PREFIX + this.node;
     this.lease = undefined;
     const lease = await this.keyValue.grantLease(REGISTRATION_TTL_MS);
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -246,7 +246,10 @@
         tableHolder: this.tableHolder,
         logger,
         nowMs,
-        onRestore: () => this.layoutRunner?.refreshLeaseNow(),
+        onRestore: () => {
+          this.layoutRunner?.refreshLeaseNow();
+          this.directory.handleRestore();
+        },
         onServersChange: () => this.handleFleetChange(),
         onEntriesSnapshot: snapshot => {
           this.directory.applySnapshot(snapshot);
