Keep servers that a restored store lacks for the grace time

An entry that reads all registrations after a restore of the store, without a call that failed before, removed servers whose registrations the copy does not have yet, although they run and register again within 2 s.

A reading states its era, and the watcher tells whether it is the first one of another era. Such a list is treated like the first after an outage.

--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -121,6 +121,8 @@
   }>;
   /** Revision from which a watch has to start. */
   readonly revision: number;
+  /** Rises each time that the store is restored from an older copy. */
+  readonly era: number;
 }
 
 export type WatchOutcome =
--- a/packages/forwarding/src/core/fleet/prefix_watcher.ts
+++ b/packages/forwarding/src/core/fleet/prefix_watcher.ts
@@ -9,6 +9,14 @@
   StoreSnapshot,
 } from '../adapter/platform_adapter.js';
 
+/** What has happened to the store since the last reading of a prefix. */
+export interface ReadingContext {
+  /** Whether the store was unavailable. */
+  readonly afterOutage: boolean;
+  /** Whether the store was restored from an older copy. */
+  readonly afterRestore: boolean;
+}
+
 export interface PrefixWatcherOptions {
   readonly prefix: string;
   /** Delay of the next watch after a change, to fetch later changes in one. */
@@ -16,8 +24,10 @@
   readonly store: PrefixStore;
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /** @param afterOutage whether the store was unavailable before this read. */
-  readonly onSnapshot: (snapshot: StoreSnapshot, afterOutage: boolean) => void;
+  readonly onSnapshot: (
+    snapshot: StoreSnapshot,
+    context: ReadingContext,
+  ) => void;
   readonly onChanges: (changes: readonly StoreChange[]) => void;
 }
 
@@ -38,6 +48,7 @@
   private readonly abortController = new AbortController();
   private isFailing = false;
   private lastResponseAtMs = -Infinity;
+  private lastEra: number | undefined;
 
   constructor(private readonly options: PrefixWatcherOptions) {}
 
@@ -81,7 +92,10 @@
     if (this.abortController.signal.aborted) return snapshot.revision;
     const afterOutage = this.isFailing;
     this.recordResponse();
-    onSnapshot(snapshot, afterOutage);
+    const {era} = snapshot;
+    const afterRestore = this.lastEra !== undefined && this.lastEra !== era;
+    this.lastEra = era;
+    onSnapshot(snapshot, {afterOutage, afterRestore});
     return snapshot.revision;
   }
 
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -7,7 +7,7 @@
 } from '../adapter/platform_adapter.js';
 import type {BackendServer} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
-import {PrefixWatcher} from '../fleet/prefix_watcher.js';
+import {PrefixWatcher, type ReadingContext} from '../fleet/prefix_watcher.js';
 import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
 import type {TableHolder} from '../routing/table_holder.js';
 
@@ -79,8 +79,7 @@
         ...common,
         prefix: adapter.store.serversPrefix,
         batchDelayMs: SERVERS_BATCH_MS,
-        onSnapshot: (snapshot, afterOutage) =>
-          this.applyServers(snapshot, afterOutage),
+        onSnapshot: (snapshot, context) => this.applyServers(snapshot, context),
         onChanges: changes => this.applyServerChanges(changes),
       }),
     );
@@ -122,10 +121,13 @@
     }
   }
 
-  private applyServers({entries}: StoreSnapshot, afterOutage: boolean): void {
+  private applyServers(
+    {entries}: StoreSnapshot,
+    {afterOutage, afterRestore}: ReadingContext,
+  ): void {
     const {fleet, nowMs, onServersChange} = this.options;
     const servers = entries.flatMap(entry => this.decodeServer(entry));
-    fleet.replaceAll(servers, nowMs(), afterOutage);
+    fleet.replaceAll(servers, nowMs(), afterOutage || afterRestore);
     this.isServerListRead = true;
     onServersChange();
   }
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -228,11 +228,11 @@
 
     const restarted = new PromptQuarantine(() => {});
     using after = storeOf(store, restarted);
-    after.applySnapshot({entries: store.entries, revision: 1});
+    after.applySnapshot({entries: store.entries, revision: 1, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('blocked');
     after.removeBlock(CRASHING);
     await flushPromises();
-    after.applySnapshot({entries: store.entries, revision: 2});
+    after.applySnapshot({entries: store.entries, revision: 2, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('free');
   });
 });
