Ignore registrations that a restored store has gone back to

After a restore of the store a server that had been removed, or that was draining, was listed as ready again and got new requests, although the entry had seen that it leaves.

`RegistrationHistory` keeps the newest heartbeat of each incarnation, also of the last 1,000 that have ended. For 8 s after a restore an entry ignores a registration that is older than the newest of its incarnation, or no newer than the one at which that ended; a later heartbeat or another incarnation counts at once. Registrations of servers that have left expire within that time. One of an ended server that remains is then applied, as the store need not show heartbeats alone. Without a restore nothing is ignored. A whole reading now also drops the observations of a server that it removes.

--- a/packages/forwarding/src/core/fleet/backend_server.ts
+++ b/packages/forwarding/src/core/fleet/backend_server.ts
@@ -19,6 +19,11 @@
   readonly state: 'ready' | 'draining';
   /** Start of this incarnation, Unix time in milliseconds. */
   readonly startedAtMs: number;
+  /**
+   * Counts the heartbeats of this incarnation, as of the registration that was
+   * applied; undefined if the registration does not state it.
+   */
+  readonly heartbeat?: number | undefined;
   /** Name of an `AcceleratorKind`; empty for a plain server. */
   readonly accelerator: string;
   /** Undefined if the server holds no layers. */
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -11,6 +11,7 @@
   type LayerRange,
   type ServerAddress,
 } from './backend_server.js';
+import {RegistrationHistory} from './registration_history.js';
 import {ServerExclusions} from './server_exclusions.js';
 import {SlowServers} from './slow_servers.js';
 
@@ -65,6 +66,7 @@
 
 export class FleetView {
   private readonly servers = new Map<ServerId, BackendServer>();
+  private readonly registrations = new RegistrationHistory();
   /** Servers that do not answer. */
   private readonly suspicions = new ServerExclusions();
   /** Servers that answer, but refuse requests because they leave or fail. */
@@ -101,9 +103,11 @@
   /**
    * Applies a registration. Registrations lag behind the reports of the server
    * by one to two seconds, so an observation takes precedence until the
-   * registered layers change.
+   * registered layers change. Older registrations are ignored for a while after
+   * a restore of the store.
    */
   put(server: BackendServer, nowMs: number): void {
+    if (!this.registrations.record(server, nowMs)) return;
     const observed = this.observations.get(server.server);
     const isObservedNewer =
       observed?.startedAtMs === server.startedAtMs &&
@@ -128,6 +132,7 @@
   }
 
   remove(server: ServerId): void {
+    this.registrations.end(server);
     this.missingServers.delete(server);
     this.observations.delete(server);
     this.supersededObservations.delete(server);
@@ -136,19 +141,29 @@
   }
 
   /**
-   * Applies a complete list of registrations. After an outage of the store,
-   * registrations may be missing only because they expired during it; their
-   * servers are kept for `MISSING_REGISTRATION_GRACE_MS`.
+   * Records that the store was restored from an older copy, before its
+   * registrations are applied.
+   */
+  recordRestore(nowMs: number): void {
+    this.registrations.recordRestore(nowMs);
+  }
+
+  /**
+   * Applies a complete list of registrations. After an outage or a restore of
+   * the store, registrations may be missing only because they expired or were
+   * lost; their servers are kept for `MISSING_REGISTRATION_GRACE_MS`.
+   * @param afterOutage whether the list is the first since one of these
    */
   replaceAll(
     listed: readonly BackendServer[],
     nowMs: number,
     afterOutage: boolean,
   ): void {
+    this.registrations.clearIgnored();
     const ids = new Set(listed.map(({server}) => server));
     for (const server of [...this.servers.keys()]) {
       if (ids.has(server)) continue;
-      if (!afterOutage) this.servers.delete(server);
+      if (!afterOutage) this.remove(server);
       else if (!this.missingServers.has(server)) {
         this.missingServers.set(server, nowMs + MISSING_REGISTRATION_GRACE_MS);
       }
@@ -168,6 +183,8 @@
     for (const [server, removeAtMs] of this.missingServers) {
       if (removeAtMs <= nowMs) this.remove(server);
     }
+    for (const server of this.registrations.takeLeftOver(nowMs))
+      this.put(server, nowMs);
     const hasExpired = [this.suspicions, this.refusals].map(e =>
       e.expire(nowMs),
     );
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -127,6 +127,7 @@
   ): void {
     const {fleet, nowMs, onServersChange} = this.options;
     const servers = entries.flatMap(entry => this.decodeServer(entry));
+    if (afterRestore) fleet.recordRestore(nowMs());
     fleet.replaceAll(servers, nowMs(), afterOutage || afterRestore);
     this.isServerListRead = true;
     onServersChange();
