Write blocks of prompt parts again that a restored store lacks

A block of a prompt part that only the store and other processes knew was dropped with the first reading after a restore: a part that ends servers could be tried again by all entries.

The blocks that were listed before the restore stay in force, and are written again in turn like new ones until the store lists them.

--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -251,9 +251,9 @@
           this.directory.handleRestore();
         },
         onServersChange: () => this.handleFleetChange(),
-        onEntriesSnapshot: snapshot => {
+        onEntriesSnapshot: (snapshot, {afterRestore}) => {
           this.directory.applySnapshot(snapshot);
-          this.quarantineStore.applySnapshot(snapshot);
+          this.quarantineStore.applySnapshot(snapshot, afterRestore);
           this.handleEntriesChange();
         },
         onEntriesChanges: changes => {
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -22,7 +22,10 @@
   /** Called after the servers of the fleet have changed. */
   readonly onServersChange: () => void;
   /** Called with all that entries have stored. */
-  readonly onEntriesSnapshot: (snapshot: StoreSnapshot) => void;
+  readonly onEntriesSnapshot: (
+    snapshot: StoreSnapshot,
+    context: ReadingContext,
+  ) => void;
   /** Called with changes of what entries have stored. */
   readonly onEntriesChanges: (changes: readonly StoreChange[]) => void;
 }
@@ -88,7 +91,7 @@
         ...common,
         prefix: ENTRY_STORE_PREFIX,
         batchDelayMs: ENTRIES_BATCH_MS,
-        onSnapshot: snapshot => onEntriesSnapshot(snapshot),
+        onSnapshot: onEntriesSnapshot,
         onChanges: changes => onEntriesChanges(changes),
       }),
     );
--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -36,7 +36,10 @@
 }
 
 export class QuarantineStore implements Disposable {
+  /** Blocks that the store lists, with the end of each. */
   private readonly stored = new Map<PromptPartKey, number>();
+  /** Blocks that a restore of the store has lost; they are written again. */
+  private readonly lost = new Map<PromptPartKey, number>();
   /** Blocks to be written, with the time at which it is this entry's turn. */
   private readonly dueAtMs = new Map<PromptPartKey, number>();
   private timer: NodeJS.Timeout | undefined;
@@ -52,7 +55,11 @@
     clearInterval(this.timer);
   }
 
-  applySnapshot({entries}: StoreSnapshot): void {
+  /** @param afterRestore whether the store was restored before this reading */
+  applySnapshot({entries}: StoreSnapshot, afterRestore = false): void {
+    if (afterRestore) {
+      for (const [part, untilMs] of this.stored) this.lost.set(part, untilMs);
+    }
     this.stored.clear();
     this.applyChanges(entries);
   }
@@ -69,12 +76,14 @@
       }
       const leftMs = untilUnixMs - Date.now();
       this.stored.set(part as PromptPartKey, nowMs() + leftMs);
+      this.lost.delete(part as PromptPartKey);
     }
-    quarantine.setStoredBlocks(new Map(this.stored));
+    quarantine.setStoredBlocks(new Map([...this.lost, ...this.stored]));
   }
 
   /** Removes the block of a part that a server has answered. */
   removeBlock(part: PromptPartKey): void {
+    this.lost.delete(part);
     if (!this.stored.has(part)) return;
     const {keyValue, logger} = this.options;
     const key = keyOf(part);
@@ -92,7 +101,10 @@
   private writeDueBlocks(): void {
     const {quarantine, nowMs, entryCount} = this.options;
     const now = nowMs();
-    const blocks = quarantine.longBlocks(now);
+    for (const [part, untilMs] of this.lost) {
+      if (untilMs <= now) this.lost.delete(part);
+    }
+    const blocks = new Map([...this.lost, ...quarantine.longBlocks(now)]);
     for (const part of this.dueAtMs.keys()) {
       if (!blocks.has(part)) this.dueAtMs.delete(part);
     }
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -235,6 +235,27 @@
     after.applySnapshot({entries: store.entries, revision: 2, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('free');
   });
+
+  // Guards against prompts that are tried again after a restore of the store
+  // (`Store-Era`), which has lost the block.
+  it('keeps a block that a restored store lacks, and writes it', async t => {
+    t.mock.timers.enable({apis: ['setInterval']});
+    const store = new FakeStore();
+    const quarantine = new PromptQuarantine(() => {});
+    using blocks = storeOf(store, quarantine);
+    const key = `azurecrank/quarantine/${encodeURIComponent(CRASHING)}`;
+    const entries = [{key, value: String(Date.now() + 60_000)}];
+    blocks.applySnapshot({entries, revision: 1, era: 1});
+    blocks.start();
+    blocks.applySnapshot({entries: [], revision: 1, era: 2}, true);
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('blocked');
+    t.mock.timers.tick(500);
+    await flushPromises();
+    expect([...store.values.keys()]).toEqual([key]);
+    blocks.applySnapshot({entries: store.entries, revision: 2, era: 2});
+    blocks.applySnapshot({entries: [], revision: 3, era: 2});
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('free');
+  });
 });
 
 describe('StreamRelay with a prompt that may end servers', () => {
