--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -236,8 +236,8 @@
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('free');
   });
 
-  // Guards against prompts that are tried again after a restore of the store
-  // (`Store-Era`), which has lost the block.
+  // Guards against prompts that are tried again after a restore of the store,
+  // which has lost the block.
   it('keeps a block that a restored store lacks, and writes it', async t => {
     t.mock.timers.enable({apis: ['setInterval']});
     const store = new FakeStore();
--- a/packages/forwarding/test/restored_registrations_test.ts
+++ b/packages/forwarding/test/restored_registrations_test.ts
@@ -10,8 +10,8 @@
 
 const RESTORED_AT_MS = 1000;
 
-// `Store-Era`: a restored store lists registrations that are older than those
-// already seen.
+// A store that is restored from a copy lists registrations that are older than
+// those already seen.
 describe('FleetView after a restore of the store', () => {
   const [empty] = emptyFleet();
   const registered = (heartbeat: number, fields: Partial<BackendServer> = {}) =>
--- a/packages/forwarding/test/store_watchers_test.ts
+++ b/packages/forwarding/test/store_watchers_test.ts
@@ -94,7 +94,7 @@
 
 describe('StoreWatchers', () => {
   // Guards against servers that are removed because the copy from which the
-  // store was restored (`Store-Era`) is older than their registrations.
+  // store was restored is older than their registrations.
   it('keep servers that a restored store lacks', async () => {
     using watchers = await createWatchers();
     expect(watchers.isServerUsed()).toEqual(true);
