Keep a missing server that a restored store lists again

A server that was missing after an outage was removed when its grace time was over, although a restored store listed it meanwhile: its registration was older than the known one and was ignored as a whole.

Any registration of a known server ends the grace time.

Before: `is kept if the copy lists it after an outage without it` red. After: it passes with the 13 others of restored_registrations_test.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -108,6 +108,7 @@
    * a restore of the store.
    */
   put(server: BackendServer, nowMs: number): void {
+    this.missingServers.delete(server.server);
     if (!this.registrations.record(server, nowMs)) return;
     const observed = this.observations.get(server.server);
     const isObservedNewer =
@@ -123,7 +124,6 @@
       this.supersededObservations.set(server.server, observed);
     }
     this.registeredLayers.set(server.server, server.layers);
-    this.missingServers.delete(server.server);
     const next = {...server, layers, reloadingLayerTokens};
     const known = this.servers.get(server.server);
     // Each heartbeat of a server is a registration, mostly without a change.
--- a/packages/forwarding/test/restored_registrations_test.ts
+++ b/packages/forwarding/test/restored_registrations_test.ts
@@ -115,6 +115,15 @@
       expect(fleet.get(empty.server)?.startedAtMs).toEqual(startedAtMs);
     });
 
+    // Guards against a server that is removed although it is registered.
+    it('is kept if the copy lists it after an outage without it', () => {
+      const fleet = createFleet();
+      fleet.replaceAll([], 500, true);
+      restore(fleet, [registered(8)]);
+      fleet.expire(RESTORED_AT_MS + 5000);
+      expect(isUsed(fleet)).toEqual(true);
+    });
+
     it('is kept for the grace time if the copy lacks it', () => {
       const fleet = createFleet();
       restore(fleet, []);
