Keep entries that are missing after a restore or an outage

The first reading after a restore, or after an outage in which leases had expired, lists few entries or none until they have registered again. An entry took itself for the only one until then: it used the whole retry budget and all of the limits that servers name, and reported to nobody.

Missing entries stay in the directory for 6 s, longer than the interval of their registration and its batch window take, unless the store shows that one was removed.

Before (trial without the grace time): `keeps entries that are missing until a grace time is over` red, 0 entries. After: it passes with the three others of entry_directory_test, and restored_process_test.

--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -20,11 +20,20 @@
 /** A third of the TTL, so that two renewals may fail before it expires. */
 const REGISTRATION_RENEWAL_INTERVAL_MS = 4000;
 
+/**
+ * Entries whose registration is missing after an outage or a restore of the
+ * store register again within this time, if they still run.
+ */
+const MISSING_ENTRY_GRACE_MS = 6000;
+
 /** Span over which the entries register again after a restore of the store. */
 const RESTORE_SPREAD_MS = 1000;
 
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
+  /** Keys of entries that are kept although they are missing. */
+  private readonly missing = new Set<string>();
+  private graceTimer: NodeJS.Timeout | undefined;
   private address = '' as PeerAddress;
   private lease: Lease | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -34,10 +43,12 @@
   private isRestored = false;
   private layoutLeaseExists = false;
 
+  /** @param onExpiry called when missing entries are no longer kept */
   constructor(
     private readonly keyValue: KeyValueService,
     private readonly node: string,
     private readonly logger: Logger,
+    private readonly onExpiry: () => void,
   ) {}
 
   /** Addresses of all registered entries, including this one. */
@@ -63,6 +74,7 @@
   [Symbol.dispose](): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    clearTimeout(this.graceTimer);
   }
 
   /** Registers soon again, as the store may have lost the registration. */
@@ -73,10 +85,38 @@
     this.scheduleRenewal();
   }
 
-  applySnapshot({entries}: StoreSnapshot): void {
+  /**
+   * @param mayLackEntries whether registrations may be missing only because the
+   *     store was unavailable or restored; these entries are kept for a while
+   */
+  applySnapshot({entries}: StoreSnapshot, mayLackEntries = false): void {
+    const before = [...this.addresses];
     this.addresses.clear();
+    this.missing.clear();
     this.layoutLeaseExists = false;
     this.applyChanges(entries);
+    clearTimeout(this.graceTimer);
+    if (mayLackEntries) this.keepMissing(before);
+  }
+
+  private keepMissing(before: Iterable<[string, PeerAddress]>): void {
+    for (const [key, address] of before) {
+      if (this.addresses.has(key)) continue;
+      this.addresses.set(key, address);
+      this.missing.add(key);
+    }
+    if (this.missing.size === 0) return;
+    this.graceTimer = setTimeout(
+      () => this.dropMissing(),
+      MISSING_ENTRY_GRACE_MS,
+    );
+    this.graceTimer.unref();
+  }
+
+  private dropMissing(): void {
+    for (const key of this.missing) this.addresses.delete(key);
+    this.missing.clear();
+    this.onExpiry();
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
@@ -84,6 +124,7 @@
       if (key === LAYOUT_LEASE_KEY)
         this.layoutLeaseExists = value !== undefined;
       if (!key.startsWith(ENTRIES_PREFIX)) continue;
+      this.missing.delete(key);
       if (value === undefined) this.addresses.delete(key);
       else this.addresses.set(key, value as PeerAddress);
     }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -138,7 +138,9 @@
       this.applyTable(table),
     );
     this.directory = this.disposables.add(
-      new EntryDirectory(keyValue, node, logger),
+      new EntryDirectory(keyValue, node, logger, () =>
+        this.handleEntriesChange(),
+      ),
     );
     this.retryBudget = new SharedRetryBudget(nowMs(), {
       ratio: settings.retryRatio,
@@ -251,8 +253,8 @@
           this.directory.handleRestore();
         },
         onServersChange: () => this.handleFleetChange(),
-        onEntriesSnapshot: (snapshot, {afterRestore}) => {
-          this.directory.applySnapshot(snapshot);
+        onEntriesSnapshot: (snapshot, {afterOutage, afterRestore}) => {
+          this.directory.applySnapshot(snapshot, afterOutage || afterRestore);
           this.quarantineStore.applySnapshot(snapshot, afterRestore);
           this.handleEntriesChange();
         },
