--- a/packages/azurecrank/src/core/explaining/request_outcome.ts
+++ b/packages/azurecrank/src/core/explaining/request_outcome.ts
@@ -131,6 +131,7 @@
   attempts: 'it had been sent to servers as often as allowed',
   deadline: 'no chain had capacity in time',
   quarantined: 'a part of its prompt ends servers',
+  stopping: 'its entry stopped',
 };
 
 /** Describes the limit that ended a stream and what the stream waited for. */
--- a/packages/core/src/core/errors/stream_cut_reasons.ts
+++ b/packages/core/src/core/errors/stream_cut_reasons.ts
@@ -8,6 +8,8 @@
   'deadline',
   /** Its prompt is known to end servers. */
   'quarantined',
+  /** The process of the entry ends. */
+  'stopping',
 ] as const;
 
 export type StreamCutReason = (typeof STREAM_CUT_REASONS)[number];
--- a/packages/forwarding/src/core/adapter/platform_adapter.ts
+++ b/packages/forwarding/src/core/adapter/platform_adapter.ts
@@ -121,6 +121,8 @@
   }>;
   /** Revision from which a watch has to start. */
   readonly revision: number;
+  /** Rises each time that the store is restored from an older copy. */
+  readonly era: number;
 }
 
 export type WatchOutcome =
@@ -129,8 +131,20 @@
       readonly changes: readonly StoreChange[];
       readonly revision: number;
     }
-  /** The revision was compacted; the whole prefix has to be read again. */
-  | {readonly kind: 'compacted'};
+  /**
+   * The store no longer has the changes after the revision, because it was
+   * compacted or restored; the whole prefix has to be read again.
+   */
+  | {readonly kind: 'history_lost'};
+
+/**
+ * The store came back from an older copy. It has lost later writes and all
+ * later leases, and what it counts as its next era has begun.
+ */
+export interface StoreRestore {
+  readonly previousEra: number;
+  readonly era: number;
+}
 
 /** Reads and watches all keys with a prefix in the store of the platform. */
 export abstract class PrefixStore {
@@ -150,6 +164,12 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<WatchOutcome>;
+
+  /**
+   * Calls the listener once for each restore of the store, with the first
+   * response that shows it, until the result is disposed.
+   */
+  abstract onRestore(listener: (restore: StoreRestore) => void): Disposable;
 }
 
 /** Keys and formats of what the platform stores. */
--- a/packages/forwarding/src/core/fleet/backend_server.ts
+++ b/packages/forwarding/src/core/fleet/backend_server.ts
@@ -19,6 +19,11 @@
   readonly state: 'ready' | 'draining';
   /** Start of this incarnation, Unix time in milliseconds. */
   readonly startedAtMs: number;
+  /**
+   * Counts the heartbeats of this incarnation, as of the registration that was
+   * applied; undefined if the registration does not state it.
+   */
+  readonly heartbeat?: number | undefined;
   /** Name of an `AcceleratorKind`; empty for a plain server. */
   readonly accelerator: string;
   /** Undefined if the server holds no layers. */
@@ -37,3 +42,26 @@
 export function isSameIncarnation(a: BackendServer, b: BackendServer): boolean {
   return a.server === b.server && a.startedAtMs === b.startedAtMs;
 }
+
+/** Returns whether both are the same layers, or none. */
+export function isSameRange(
+  a: LayerRange | undefined,
+  b: LayerRange | undefined,
+): boolean {
+  return a?.firstLayer === b?.firstLayer && a?.endLayer === b?.endLayer;
+}
+
+/**
+ * Returns whether an order to hold the range is completed. Servers report their
+ * new layers before they have released the old ones, so the range alone does
+ * not show that.
+ */
+export function hasLoadedRange(
+  server: BackendServer,
+  range: LayerRange,
+): boolean {
+  return (
+    server.reloadingLayerTokens === undefined &&
+    isSameRange(server.layers, range)
+  );
+}
--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -22,18 +22,37 @@
 /** A third of the TTL, so that two renewals may fail before it expires. */
 const REGISTRATION_RENEWAL_INTERVAL_MS = 4000;
 
+/**
+ * Entries whose registration is missing after an outage or a restore of the
+ * store register again within this time, if they still run.
+ */
+const MISSING_ENTRY_GRACE_MS = 6000;
+
+/** Span over which the entries register again after a restore of the store. */
+const RESTORE_SPREAD_MS = 1000;
+
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
   private readonly unreadable: UnreadableEntries;
+  /** Keys of entries that are kept although they are missing. */
+  private readonly missing = new Set<string>();
+  private graceTimer: NodeJS.Timeout | undefined;
+  private address = '' as PeerAddress;
   private lease: Lease | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+  private isRenewing = false;
+  /** Whether the store was restored since the registration was written. */
+  private isRestored = false;
   private layoutLeaseExists = false;
 
+  /** @param onExpiry called when missing entries are no longer kept */
   constructor(
     private readonly keyValue: KeyValueService,
     private readonly node: string,
     private readonly logger: Logger,
     private readonly nowMs: () => number,
+    private readonly onExpiry: () => void,
   ) {
     this.unreadable = new UnreadableEntries(
       logger,
@@ -57,17 +76,56 @@
   }
 
   start(address: PeerAddress): void {
-    void this.renewRegistration(address);
+    this.address = address;
+    void this.renewRegistration();
   }
 
   [Symbol.dispose](): void {
+    this.isStopped = true;
     clearTimeout(this.timer);
+    clearTimeout(this.graceTimer);
   }
 
-  applySnapshot({entries}: StoreSnapshot): void {
+  /** Registers soon again, as the store may have lost the registration. */
+  handleRestore(): void {
+    this.isRestored = true;
+    if (this.isRenewing || this.timer === undefined) return;
+    clearTimeout(this.timer);
+    this.scheduleRenewal();
+  }
+
+  /**
+   * @param mayLackEntries whether registrations may be missing only because the
+   *     store was unavailable or restored; these entries are kept for a while
+   */
+  applySnapshot({entries}: StoreSnapshot, mayLackEntries = false): void {
+    const before = [...this.addresses];
     this.addresses.clear();
+    this.missing.clear();
     this.layoutLeaseExists = false;
     this.applyChanges(entries);
+    clearTimeout(this.graceTimer);
+    if (mayLackEntries) this.keepMissing(before);
+  }
+
+  private keepMissing(before: Iterable<[string, PeerAddress]>): void {
+    for (const [key, address] of before) {
+      if (this.addresses.has(key)) continue;
+      this.addresses.set(key, address);
+      this.missing.add(key);
+    }
+    if (this.missing.size === 0) return;
+    this.graceTimer = setTimeout(
+      () => this.dropMissing(),
+      MISSING_ENTRY_GRACE_MS,
+    );
+    this.graceTimer.unref();
+  }
+
+  private dropMissing(): void {
+    for (const key of this.missing) this.addresses.delete(key);
+    this.missing.clear();
+    this.onExpiry();
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
@@ -75,6 +133,7 @@
       if (key === LAYOUT_LEASE_KEY)
         this.layoutLeaseExists = value !== undefined;
       if (!key.startsWith(ENTRIES_PREFIX)) continue;
+      this.missing.delete(key);
       if (value === undefined) this.removeAddress(key);
       else this.setAddress(key, value);
     }
@@ -97,25 +156,36 @@
   }
 
   /** Renews the registration's lease, or registers again; then repeats. */
-  private async renewRegistration(address: PeerAddress): Promise<void> {
+  private async renewRegistration(): Promise<void> {
+    const {isRestored} = this;
+    this.isRenewing = true;
+    this.isRestored = false;
     try {
       const isLeaseAlive =
         this.lease && (await this.keyValue.keepLeaseAlive(this.lease));
-      if (!isLeaseAlive) await this.register(address);
+      if (!isLeaseAlive) await this.register();
     } catch (error) {
       this.logger.warn('entry registration could not be renewed; retrying', {
         step: 'register',
         cause: String(error),
       });
     }
-    this.timer = setTimeout(
-      () => void this.renewRegistration(address),
-      REGISTRATION_RENEWAL_INTERVAL_MS,
-    );
+    this.isRenewing = false;
+    if (isRestored && !this.lease) this.isRestored = true;
+    this.scheduleRenewal();
+  }
+
+  private scheduleRenewal(): void {
+    if (this.isStopped) return;
+    const delayMs = this.isRestored
+      ? Math.random() * RESTORE_SPREAD_MS
+      : REGISTRATION_RENEWAL_INTERVAL_MS;
+    this.timer = setTimeout(() => void this.renewRegistration(), delayMs);
     this.timer.unref();
   }
 
-  private async register(address: PeerAddress): Promise<void> {
+  private async register(): Promise<void> {
+    const {address} = this;
     const key = ENTRIES_PREFIX + this.node;
     this.lease = undefined;
     const lease = await this.keyValue.grantLease(REGISTRATION_TTL_MS);
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -147,7 +147,9 @@
       this.applyTable(table),
     );
     this.directory = this.disposables.add(
-      new EntryDirectory(keyValue, node, logger, nowMs),
+      new EntryDirectory(keyValue, node, logger, nowMs, () =>
+        this.handleEntriesChange(),
+      ),
     );
     this.retryBudget = new SharedRetryBudget(nowMs(), {
       ratio: settings.retryRatio,
@@ -256,10 +258,14 @@
         tableHolder: this.tableHolder,
         logger,
         nowMs,
+        onRestore: () => {
+          this.layoutRunner?.refreshLeaseNow();
+          this.directory.handleRestore();
+        },
         onServersChange: () => this.handleFleetChange(),
-        onEntriesSnapshot: snapshot => {
-          this.directory.applySnapshot(snapshot);
-          this.quarantineStore.applySnapshot(snapshot);
+        onEntriesSnapshot: (snapshot, {afterOutage, afterRestore}) => {
+          this.directory.applySnapshot(snapshot, afterOutage || afterRestore);
+          this.quarantineStore.applySnapshot(snapshot, afterRestore);
           this.handleEntriesChange();
         },
         onEntriesChanges: changes => {
--- a/packages/forwarding/src/core/process/store_watchers.ts
+++ b/packages/forwarding/src/core/process/store_watchers.ts
@@ -8,7 +8,7 @@
 import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 import type {BackendServer} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
-import {PrefixWatcher} from '../fleet/prefix_watcher.js';
+import {PrefixWatcher, type ReadingContext} from '../fleet/prefix_watcher.js';
 import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
 import type {TableHolder} from '../routing/table_holder.js';
 
@@ -18,10 +18,15 @@
   readonly tableHolder: TableHolder;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Called when the store was restored from an older copy. */
+  readonly onRestore: () => void;
   /** Called after the servers of the fleet have changed. */
   readonly onServersChange: () => void;
   /** Called with all that entries have stored. */
-  readonly onEntriesSnapshot: (snapshot: StoreSnapshot) => void;
+  readonly onEntriesSnapshot: (
+    snapshot: StoreSnapshot,
+    context: ReadingContext,
+  ) => void;
   /** Called with changes of what entries have stored. */
   readonly onEntriesChanges: (changes: readonly StoreChange[]) => void;
 }
@@ -59,6 +64,15 @@
       logger,
       'server entry is unreadable; the server is not used',
     );
+    this.disposables.add(
+      adapter.prefixes.onRestore(({previousEra, era}) => {
+        logger.warn('store was restored from an older copy', {
+          previousEra,
+          era,
+        });
+        options.onRestore();
+      }),
+    );
     const common = {store: adapter.prefixes, logger, nowMs};
     this.table = this.disposables.add(
       new PrefixWatcher({
@@ -74,8 +88,7 @@
         ...common,
         prefix: adapter.store.serversPrefix,
         batchDelayMs: SERVERS_BATCH_MS,
-        onSnapshot: (snapshot, afterOutage) =>
-          this.applyServers(snapshot, afterOutage),
+        onSnapshot: (snapshot, context) => this.applyServers(snapshot, context),
         onChanges: changes => this.applyServerChanges(changes),
       }),
     );
@@ -84,7 +97,7 @@
         ...common,
         prefix: ENTRY_STORE_PREFIX,
         batchDelayMs: ENTRIES_BATCH_MS,
-        onSnapshot: snapshot => onEntriesSnapshot(snapshot),
+        onSnapshot: onEntriesSnapshot,
         onChanges: changes => onEntriesChanges(changes),
       }),
     );
@@ -117,10 +130,14 @@
     }
   }
 
-  private applyServers({entries}: StoreSnapshot, afterOutage: boolean): void {
+  private applyServers(
+    {entries}: StoreSnapshot,
+    {afterOutage, afterRestore}: ReadingContext,
+  ): void {
     const {fleet, nowMs, onServersChange} = this.options;
     const servers = entries.flatMap(entry => this.decodeServer(entry));
-    fleet.replaceAll(servers, nowMs(), afterOutage);
+    if (afterRestore) fleet.recordRestore(nowMs());
+    fleet.replaceAll(servers, nowMs(), afterOutage || afterRestore);
     this.isServerListRead = true;
     onServersChange();
   }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -214,9 +214,10 @@
     this.upstream?.abort();
     this.admission.remove(this.queuedRequest.request);
     this.lastCause = 'this entry stops';
-    if (this.isHeadSent) return this.endIncomplete('cut');
+    if (this.isHeadSent)
+      return this.endIncomplete({kind: 'cut', endedBy: 'stopping'});
     if (wasSent) this.mayHaveRun = true;
-    if (this.mayHaveRun) return this.endIncomplete('fail');
+    if (this.mayHaveRun) return this.endIncomplete({kind: 'fail'});
     this.refuse('leaving', 0);
   }
 
--- a/packages/forwarding/test/leaving_servers_test.ts
+++ b/packages/forwarding/test/leaving_servers_test.ts
@@ -24,12 +24,13 @@
 const LEAVING_HEAD = ['leaving', '1', 'transfer-encoding', 'chunked'];
 const REFUSING_HEAD = ['not-run', '1', ...LEAVING_HEAD];
 
-/** Starts a plain call. */
-function startCall(harness: RelayHarness): void {
+/** Starts a plain call; returns the response of its caller. */
+function startCall(harness: RelayHarness): FakeResponse {
+  const res = new FakeResponse();
   const req = {rawHeaders: [], method: 'GET', url: '/lookup/1', complete: true};
   const exchange = new CallerExchange(
     req as unknown as IncomingMessage,
-    new FakeResponse() as unknown as ServerResponse,
+    res as unknown as ServerResponse,
     CALLER_FACTS,
     harness.nowMs,
   );
@@ -54,6 +55,7 @@
     logger,
     nowMs: () => harness.nowMs,
   }).start();
+  return res;
 }
 
 /** Makes the last request get a whole response with these headers. */
@@ -165,8 +167,9 @@
     answer(harness, 200, LEAVING_HEAD);
     const startedAtMs = server.startedAtMs + 1;
     harness.fleet.put({...server, startedAtMs}, harness.nowMs);
-    startCall(harness);
+    const res = startCall(harness);
     expect(sentAfter(harness, 2)).toEqual([server.address]);
+    res.destroy();
   });
 
   it('is taken out of use by its report', async () => {
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -228,11 +228,11 @@
 
     const restarted = new PromptQuarantine(() => {});
     using after = storeOf(store, restarted);
-    after.applySnapshot({entries: store.entries, revision: 1});
+    after.applySnapshot({entries: store.entries, revision: 1, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('blocked');
     after.removeBlock(CRASHING);
     await flushPromises();
-    after.applySnapshot({entries: store.entries, revision: 2});
+    after.applySnapshot({entries: store.entries, revision: 2, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('free');
   });
 
@@ -251,7 +251,7 @@
     );
     const quarantine = new PromptQuarantine(() => {});
     using blocks = storeOf(store, quarantine);
-    blocks.applySnapshot({entries: store.entries, revision: 1});
+    blocks.applySnapshot({entries: store.entries, revision: 1, era: 1});
     blocks.applyChanges(store.entries);
     expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('blocked');
     expect(quarantine.tryStart([OTHER], 10_000)).toEqual('free');
@@ -259,6 +259,27 @@
     const afterBlockMs = 10_000 + BLOCK_MS + 1;
     expect(quarantine.tryStart([FIRST], afterBlockMs)).toEqual('free');
   });
+
+  // Guards against prompts that are tried again after a restore of the store,
+  // which has lost the block.
+  it('keeps a block that a restored store lacks, and writes it', async t => {
+    t.mock.timers.enable({apis: ['setInterval']});
+    const store = new FakeStore();
+    const quarantine = new PromptQuarantine(() => {});
+    using blocks = storeOf(store, quarantine);
+    const key = `azurecrank/quarantine/${encodeURIComponent(CRASHING)}`;
+    const entries = [{key, value: String(Date.now() + 60_000)}];
+    blocks.applySnapshot({entries, revision: 1, era: 1});
+    blocks.start();
+    blocks.applySnapshot({entries: [], revision: 1, era: 2}, true);
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('blocked');
+    t.mock.timers.tick(500);
+    await flushPromises();
+    expect([...store.values.keys()]).toEqual([key]);
+    blocks.applySnapshot({entries: store.entries, revision: 2, era: 2});
+    blocks.applySnapshot({entries: [], revision: 3, era: 2});
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('free');
+  });
 });
 
 describe('StreamRelay with a prompt that may end servers', () => {
