Remove blocks of prompt parts that a restored store brings back

A block that was removed since the copy, because a server had answered the part or an operator had deleted it, was in force again after a restore, for up to 10 minutes.

The blocks that were removed before their end are remembered until then. If the first reading after a restore lists the same one, it is ignored and removed again; a later block of the part counts.

Before: `removes a block again that was removed since the copy` red, the part was blocked.

--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -35,9 +35,17 @@
   readonly entryCount: () => number;
 }
 
+interface StoredBlock {
+  /** The end of the block as it is stored, Unix time in milliseconds. */
+  readonly value: string;
+  readonly untilMs: number;
+}
+
 export class QuarantineStore implements Disposable {
-  /** Blocks that the store lists, with the end of each. */
-  private readonly stored = new Map<PromptPartKey, number>();
+  /** Blocks that the store lists. */
+  private readonly stored = new Map<PromptPartKey, StoredBlock>();
+  /** Blocks that were removed; a restore of the store may bring them back. */
+  private readonly removed = new Map<PromptPartKey, StoredBlock>();
   /** Blocks that a restore of the store has lost; they are written again. */
   private readonly lost = new Map<PromptPartKey, number>();
   /** Blocks to be written, with the time at which it is this entry's turn. */
@@ -58,27 +66,46 @@
   /** @param afterRestore whether the store was restored before this reading */
   applySnapshot({entries}: StoreSnapshot, afterRestore = false): void {
     if (afterRestore) {
-      for (const [part, untilMs] of this.stored) this.lost.set(part, untilMs);
+      for (const [part, {untilMs}] of this.stored) this.lost.set(part, untilMs);
     }
     this.stored.clear();
     this.applyChanges(entries);
+    if (afterRestore) this.removeRestored();
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
-    const {quarantine, nowMs} = this.options;
+    const {nowMs} = this.options;
     for (const {key, value} of changes) {
       if (!key.startsWith(BLOCKS_PREFIX)) continue;
-      const part = decodeURIComponent(key.slice(BLOCKS_PREFIX.length));
+      const part = partOf(key);
       const untilUnixMs = Number(value);
+      const block = this.stored.get(part);
       if (value === undefined || !Number.isFinite(untilUnixMs)) {
-        this.stored.delete(part as PromptPartKey);
+        this.stored.delete(part);
+        if (block) this.removed.set(part, block);
         continue;
       }
       const leftMs = untilUnixMs - Date.now();
-      this.stored.set(part as PromptPartKey, nowMs() + leftMs);
-      this.lost.delete(part as PromptPartKey);
+      this.stored.set(part, {value, untilMs: nowMs() + leftMs});
+      this.lost.delete(part);
+    }
+    this.updateQuarantine();
+  }
+
+  private updateQuarantine(): void {
+    const blocks = new Map(this.lost);
+    for (const [part, {untilMs}] of this.stored) blocks.set(part, untilMs);
+    this.options.quarantine.setStoredBlocks(blocks);
+  }
+
+  /** Removes the blocks that a restore of the store has brought back. */
+  private removeRestored(): void {
+    for (const [part, {value}] of this.removed) {
+      if (this.stored.get(part)?.value !== value) continue;
+      this.removeBlock(part);
+      this.stored.delete(part);
     }
-    quarantine.setStoredBlocks(new Map([...this.lost, ...this.stored]));
+    this.updateQuarantine();
   }
 
   /** Removes the block of a part that a server has answered. */
@@ -104,6 +131,9 @@
     for (const [part, untilMs] of this.lost) {
       if (untilMs <= now) this.lost.delete(part);
     }
+    for (const [part, {untilMs}] of this.removed) {
+      if (untilMs <= now) this.removed.delete(part);
+    }
     const blocks = new Map([...this.lost, ...quarantine.longBlocks(now)]);
     for (const part of this.dueAtMs.keys()) {
       if (!blocks.has(part)) this.dueAtMs.delete(part);
@@ -148,6 +178,10 @@
   }
 }
 
+function partOf(key: string): PromptPartKey {
+  return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as PromptPartKey;
+}
+
 function keyOf(part: PromptPartKey): string {
   return BLOCKS_PREFIX + encodeURIComponent(part);
 }
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/prompt_quarantine_test.ts
@@ -256,6 +256,26 @@
     blocks.applySnapshot({entries: [], revision: 3, era: 2});
     expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('free');
   });
+
+  // Guards against a part that is blocked for minutes although it was answered,
+  // since a restore of the store has brought its block back.
+  it('removes a block again that was removed since the copy', async () => {
+    const store = new FakeStore();
+    const quarantine = new PromptQuarantine(() => {});
+    using blocks = storeOf(store, quarantine);
+    const key = `azurecrank/quarantine/${encodeURIComponent(CRASHING)}`;
+    const entries = [{key, value: String(Date.now() + 60_000)}];
+    blocks.applySnapshot({entries, revision: 1, era: 1});
+    blocks.applyChanges([{key, value: undefined}]);
+    store.values.set(key, entries[0].value);
+    blocks.applySnapshot({entries, revision: 1, era: 2}, true);
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('free');
+    await flushPromises();
+    expect(store.values.size).toEqual(0);
+    const next = {key, value: String(Date.now() + 90_000)};
+    blocks.applyChanges([next]);
+    expect(quarantine.tryStart([CRASHING], 10_000)).toEqual('blocked');
+  });
 });
 
 describe('StreamRelay with a prompt that may end servers', () => {
