--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -36,9 +36,17 @@
   readonly entryCount: () => number;
 }
 
+interface StoredBlock {
+  /** The end of the block as it is stored, Unix time in milliseconds. */
+  readonly value: string;
+  readonly untilMs: number;
+}
+
 export class QuarantineStore implements Disposable {
-  /** Blocks that the store lists, with the end of each. */
-  private readonly stored = new Map<PromptPartKey, number>();
+  /** Blocks that the store lists. */
+  private readonly stored = new Map<PromptPartKey, StoredBlock>();
+  /** Blocks that were removed; a restore of the store may bring them back. */
+  private readonly removed = new Map<PromptPartKey, StoredBlock>();
   /** Blocks that a restore of the store has lost; they are written again. */
   private readonly lost = new Map<PromptPartKey, number>();
   /** Blocks to be written, with the time at which it is this entry's turn. */
@@ -65,18 +73,18 @@
   /** @param afterRestore whether the store was restored before this reading */
   applySnapshot({entries}: StoreSnapshot, afterRestore = false): void {
     if (afterRestore) {
-      for (const [part, untilMs] of this.stored) this.lost.set(part, untilMs);
+      for (const [part, {untilMs}] of this.stored) this.lost.set(part, untilMs);
     }
     this.stored.clear();
     this.applyChanges(entries);
+    if (afterRestore) this.removeRestored();
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
     for (const change of changes) {
       if (change.key.startsWith(BLOCKS_PREFIX)) this.applyChange(change);
     }
-    const blocks = new Map([...this.lost, ...this.stored]);
-    this.options.quarantine.setStoredBlocks(blocks);
+    this.updateQuarantine();
   }
 
   /** Skips what other writers may have stored under the prefix. */
@@ -84,17 +92,40 @@
     const {nowMs} = this.options;
     const part = partOf(key);
     const untilUnixMs = Number(value);
-    if (part !== undefined) this.stored.delete(part);
+    if (part !== undefined && value === undefined) this.recordRemoval(part);
     if (value === undefined) return this.unreadable.clear(key);
     if (part === undefined || !Number.isFinite(untilUnixMs)) {
+      if (part !== undefined) this.stored.delete(part);
       return this.unreadable.report(key, {step: 'quarantine'}, nowMs());
     }
     const leftMs = Math.min(MAX_LEASE_TTL_MS, untilUnixMs - Date.now());
-    this.stored.set(part, nowMs() + leftMs);
+    this.stored.set(part, {value, untilMs: nowMs() + leftMs});
     this.lost.delete(part);
     this.unreadable.clear(key);
   }
 
+  private recordRemoval(part: PromptPartKey): void {
+    const block = this.stored.get(part);
+    if (block) this.removed.set(part, block);
+    this.stored.delete(part);
+  }
+
+  private updateQuarantine(): void {
+    const blocks = new Map(this.lost);
+    for (const [part, {untilMs}] of this.stored) blocks.set(part, untilMs);
+    this.options.quarantine.setStoredBlocks(blocks);
+  }
+
+  /** Removes the blocks that a restore of the store has brought back. */
+  private removeRestored(): void {
+    for (const [part, {value}] of this.removed) {
+      if (this.stored.get(part)?.value !== value) continue;
+      this.removeBlock(part);
+      this.stored.delete(part);
+    }
+    this.updateQuarantine();
+  }
+
   /** Removes the block of a part that a server has answered. */
   removeBlock(part: PromptPartKey): void {
     this.lost.delete(part);
@@ -118,6 +149,9 @@
     for (const [part, untilMs] of this.lost) {
       if (untilMs <= now) this.lost.delete(part);
     }
+    for (const [part, {untilMs}] of this.removed) {
+      if (untilMs <= now) this.removed.delete(part);
+    }
     const blocks = new Map([...this.lost, ...quarantine.longBlocks(now)]);
     for (const part of this.dueAtMs.keys()) {
       if (!blocks.has(part)) this.dueAtMs.delete(part);
@@ -162,6 +196,10 @@
   }
 }
 
+function partOf(key: string): PromptPartKey {
+  return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as PromptPartKey;
+}
+
 function keyOf(part: PromptPartKey): string {
   return BLOCKS_PREFIX + encodeURIComponent(part);
 }
