Keep streams that nothing can continue on servers that are suspected

A stream that may not be resumed, or whose attempts were used up, was ended as soon as a server of its path was suspected: in the middle of its answer, or with a 502 before its first event. A suspicion is a silence of 80 to 350 ms of the server's reports; a sound server may be silent for longer, and its answer is lost to the caller, who may not repeat the request.

Such a stream now stays. A later server of the path is still replaced, tried again each 500 ms. If the server has really ended, its connection ends, or the time limit does. A request that was not sent yet counts as not run when its server is left, so it continues elsewhere.

--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -101,6 +101,9 @@
  */
 const MIGRATION_SPREAD_MS = 500;
 
+/** Time after which a path that cannot be left is looked at again. */
+const REPLACE_RETRY_INTERVAL_MS = 500;
+
 /** Timeout of the order that migrates a request to another path. */
 const REPATH_TIMEOUT_MS = 400;
 
@@ -135,6 +138,8 @@
   /** Media type of the head that was sent to the caller. */
   private mediaType = '';
   private isRepathing = false;
+  /** Time from which suspected servers of the path are replaced. */
+  private replaceFromMs = 0;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
   /**
@@ -243,6 +248,7 @@
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
     if (this.replacements.suspectedServers(this.path).length > 0) {
+      if (nowMs < this.replaceFromMs) return;
       this.replaceSuspectedServers().catch(error => this.failInternally(error));
       return;
     }
@@ -292,12 +298,12 @@
   }
 
   /** Decides what follows if the stream has lost its server. */
-  private decide(nowMs: number): StreamDecision {
+  private decide(nowMs: number, mayHaveRun = this.mayHaveRun): StreamDecision {
     const {budget, service} = this.options;
     return decideStream({
       isResumable: this.accepted.route.isResumable,
       isHeadSent: this.isHeadSent,
-      mayHaveRun: this.mayHaveRun,
+      mayHaveRun,
       attempts: this.attempts - this.refusedAttempts,
       remainingMs: this.accepted.deadlineAtMs - nowMs,
       hasRetryBudget: budget.available(service, nowMs) >= 1,
@@ -312,6 +318,7 @@
     this.sentAtMs = now;
     this.pathSetAtMs = now;
     this.hasEventOnPath = false;
+    this.replaceFromMs = now;
     this.migrateFromMs = now + MIGRATION_SPREAD_MS * Math.random();
     if (!this.isHeadSent) this.lastEventAtMs = now;
     this.attempts++;
@@ -541,8 +548,9 @@
   }
 
   private abandonServer(cause: string): void {
+    const wasSent = this.upstream?.wasSent ?? false;
     this.upstream?.abort();
-    this.handleServerLoss(cause, true);
+    this.handleServerLoss(cause, wasSent);
   }
 
   /**
@@ -717,14 +725,27 @@
     const {fleet} = this.options;
     const [first] = this.path;
     if (fleet.isSuspected(first.server.address)) {
-      return this.abandonServer('the first server does not answer');
+      return this.leaveSuspected('the first server does not answer');
     }
     const path = this.replacements.find(this.path);
     if (!path)
-      return this.abandonServer('no suitable replacement path in its zones');
+      return this.leaveSuspected('no suitable replacement path in its zones');
     const outcome = await this.migrateTo(path);
     if (!outcome || outcome.kind === 'accepted') return;
-    this.abandonServer(`order to change the path failed: ${outcome.kind}`);
+    this.leaveSuspected(`order to change the path failed: ${outcome.kind}`);
+  }
+
+  /**
+   * Leaves a path with suspected servers, unless that would end the request:
+   * the servers may only be silent.
+   */
+  private leaveSuspected(cause: string): void {
+    const now = this.options.nowMs();
+    const mayHaveRun = this.mayHaveRun || (this.upstream?.wasSent ?? false);
+    const {kind} = this.decide(now, mayHaveRun);
+    if (kind === 'resume' || kind === 'queue_again')
+      return this.abandonServer(cause);
+    this.replaceFromMs = now + REPLACE_RETRY_INTERVAL_MS;
   }
 
   /** Migrates the stream away from servers that are draining or very slow. */
--- a/packages/forwarding/test/stream_silence_test.ts
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -280,3 +280,50 @@
     expect(eventIds(harness.res)).toEqual([1, 2]);
   });
 });
+
+// Guards against ending an answer because its server is silent: it may be
+// sound, and nothing else can complete the answer.
+describe('a stream that may not be resumed', () => {
+  function expectCompletes(harness: RelayHarness): void {
+    expect(harness.upstream.sent.length).toEqual(1);
+    expect(harness.lastSent.isAborted).toEqual(false);
+    harness.receiveEvents(2);
+    harness.lastSent.handlers.onEnd();
+    expect(eventIds(harness.res)).toEqual([1, 2]);
+    expect(harness.res.writableFinished).toEqual(true);
+  }
+
+  it('goes on while its first server is suspected', async () => {
+    const harness = new RelayHarness({isResumable: false});
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    harness.fleet.suspect(harness.lastSent.request.address);
+    await harness.advance(1500);
+    expectCompletes(harness);
+  });
+
+  it('awaits its first event while its first server is suspected', async () => {
+    const harness = new RelayHarness({isResumable: false});
+    harness.fleet.suspect(harness.lastSent.request.address);
+    await harness.advance(1500);
+    expect(harness.res.headersSent).toEqual(false);
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    expectCompletes(harness);
+  });
+
+  it('goes on while a later server is suspected and not replaced', async () => {
+    const harness = new RelayHarness({isResumable: false});
+    harness.receiveHead();
+    harness.receiveEvents(1);
+    harness.fleet.suspect(harness.pathAddresses()[3]);
+    for (let elapsedMs = 0; elapsedMs < 1500; elapsedMs += 50) {
+      await harness.advance(50);
+      harness.control.resolveRepath({kind: 'unknown', cause: 'timeout'});
+      await flushPromises();
+    }
+    expect(harness.control.repaths.length).toBeGreaterThan(1);
+    expect(harness.control.repaths.length).toBeLessThanOrEqual(4);
+    expectCompletes(harness);
+  });
+});
