Keep slow calls on their server if nothing else can answer them

An idempotent call without an answer after 0.65 of the latency target was given up for another server also when there was no other, or when the retry budget was used up, as it is under overload: the caller got a 502 with most of its time left, from a server that was sound and at work.

The attempt now goes on until another server may take the call, looked for each 100 ms, or until the time limit. Calls that can go elsewhere do so as before.

--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -31,6 +31,7 @@
   decideCall,
   type AttemptOutcome,
   type CallDecision,
+  type CallState,
 } from './decide_call.js';
 import type {Exchange, Upstream} from './upstream.js';
 
@@ -57,6 +58,9 @@
  */
 const SLOW_CALL_TARGET_FRACTION = 0.65;
 
+/** Interval at which a slow call looks for another server. */
+const SLOW_CALL_CHECK_INTERVAL_MS = 100;
+
 /** Responses are buffered whole, so that incomplete ones can be retried. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
@@ -246,24 +250,26 @@
 
   /** Retries the call or ends it, depending on the outcome of an attempt. */
   private handleOutcome(outcome: AttemptOutcome): void {
+    const now = this.options.nowMs();
+    const decision = decideCall(this.stateAt(now), outcome);
+    if (outcome.kind === 'broken' || outcome.kind === 'slow') {
+      this.mayHaveRun = true;
+    }
+    if (decision === 'retry' && this.retry(outcome, now)) return;
+    this.finish(decision, outcome);
+  }
+
+  private stateAt(nowMs: number): CallState {
     const {route, deadlineAtMs} = this.accepted;
-    const {nowMs, budget} = this.options;
-    const now = nowMs();
-    const state = {
+    return {
       kind: route.kind,
       serversReached: this.serversReached,
       maxAttempts: route.maxAttempts,
       attempts: this.attempts,
       mayHaveRun: this.mayHaveRun,
-      remainingMs: deadlineAtMs - now,
-      hasRetryBudget: budget.available(this.service, now) >= 1,
+      remainingMs: deadlineAtMs - nowMs,
+      hasRetryBudget: this.options.budget.available(this.service, nowMs) >= 1,
     };
-    const decision = decideCall(state, outcome);
-    if (outcome.kind === 'broken' || outcome.kind === 'slow') {
-      this.mayHaveRun = true;
-    }
-    if (decision === 'retry' && this.retry(outcome, now)) return;
-    this.finish(decision, outcome);
   }
 
   /** Starts another attempt; returns false if no untried server is left. */
@@ -373,6 +379,10 @@
     const slowCallMs = canRetryElsewhere
       ? latencyTargetMs * SLOW_CALL_TARGET_FRACTION
       : Infinity;
+    this.setAttemptTimer(remainingMs, slowCallMs);
+  }
+
+  private setAttemptTimer(remainingMs: number, slowCallMs: number): void {
     const timeoutMs = Math.min(remainingMs - DEADLINE_MARGIN_MS, slowCallMs);
     this.timer = setTimeout(
       () => this.handleAttemptTimeout(slowCallMs < remainingMs),
@@ -382,11 +392,26 @@
 
   private handleAttemptTimeout(isSlow: boolean): void {
     const wasSent = this.upstream?.wasSent ?? false;
+    const kind = wasSent ? 'slow' : 'not_sent';
+    const now = this.options.nowMs();
+    // The server may be sound, so the attempt is not given up for nothing.
+    if (isSlow && !this.canRetryElsewhere(kind, now)) {
+      const remainingMs = this.accepted.deadlineAtMs - now;
+      return this.setAttemptTimer(remainingMs, SLOW_CALL_CHECK_INTERVAL_MS);
+    }
     this.upstream?.abort();
     const cause = isSlow
       ? 'no response in the expected time'
       : 'deadline exceeded';
-    this.failAttempt(wasSent ? 'slow' : 'not_sent', cause);
+    this.failAttempt(kind, cause);
+  }
+
+  /** Whether the call would be sent to another server if its attempt ended. */
+  private canRetryElsewhere(kind: 'slow' | 'not_sent', nowMs: number): boolean {
+    const state = this.stateAt(nowMs);
+    const serversReached = state.serversReached + (kind === 'slow' ? 1 : 0);
+    const decision = decideCall({...state, serversReached}, {kind});
+    return decision === 'retry' && this.servers.select(nowMs) !== undefined;
   }
 
   private clearTimer(): void {
--- a/packages/forwarding/test/call_harness.ts
+++ b/packages/forwarding/test/call_harness.ts
@@ -32,6 +32,12 @@
 const SERVICE = toId<ServiceId>('desk');
 const DEADLINE_MS = 3000;
 
+export interface CallOptions {
+  readonly latencyTargetMs?: number;
+  /** Retries in addition to the share of the requests. */
+  readonly extraRetries?: number;
+}
+
 export class CallHarness {
   readonly metrics = new Metrics();
   private readonly fleet = new FleetView();
@@ -59,7 +65,11 @@
   }
 
   /** Relays a call and returns what the caller gets. */
-  async call(kind: CallKind, request: string): Promise<FakeResponse> {
+  async call(
+    kind: CallKind,
+    request: string,
+    {latencyTargetMs = DEADLINE_MS, extraRetries = 60}: CallOptions = {},
+  ): Promise<FakeResponse> {
     const res = new FakeResponse();
     const nowMs = () => performance.now();
     const exchange = new CallerExchange(
@@ -75,7 +85,7 @@
     );
     const maxAttempts = kind === 'idempotent' ? 2 : 1;
     const accepted = acceptedRequest(
-      {...ROUTE, kind, maxAttempts, latencyTargetMs: DEADLINE_MS},
+      {...ROUTE, kind, maxAttempts, latencyTargetMs},
       nowMs() + DEADLINE_MS,
     );
     exchange.accepted = accepted;
@@ -94,7 +104,7 @@
       balancer,
       budget: new SharedRetryBudget(-Infinity, {
         ratio: 0.2,
-        extraRetries: 60,
+        extraRetries,
         windowMs: 10_000,
       }),
       limits: new SharedServerLimits({
