Continue interrupted streams of all entries by the age of their events

When a chain is lost, the entries together have a hundred streams or more that look for a place at once. Each entry saw the same free tokens and took them for its own; the servers refused, and chains were closed for up to 2.4 s while streams waited.

Reports now give the age of the oldest interrupted stream, and a stream leaves the tokens of those at other entries that had their last event earlier.

--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -329,10 +329,10 @@
     readonly [string, ReadonlyArray<readonly [number, number]>]
   >;
   /**
-   * Tokens of the started streams that wait for another chain, by service.
-   * Absent if there are none.
+   * Started streams that wait for another chain, by service: their tokens, and
+   * the milliseconds for which the oldest has waited. Absent if there are none.
    */
-  readonly interrupted?: ReadonlyArray<readonly [string, number]>;
+  readonly interrupted?: ReadonlyArray<readonly [string, number, number]>;
   /** Incarnations of draining servers: id and start time (Unix ms). */
   readonly leaving: ReadonlyArray<readonly [string, number]>;
   /** Addresses of servers that the entry suspects because they do not answer. */
--- a/packages/forwarding/src/core/admission/interrupted_streams.ts
+++ b/packages/forwarding/src/core/admission/interrupted_streams.ts
@@ -7,11 +7,14 @@
 import type {ServerAddress} from '../fleet/backend_server.js';
 import {ADMISSIBLE_CAPACITY_FRACTION} from '../paths/chain_throughput.js';
 import type {ServerChain} from '../paths/find_chains.js';
+import type {RankQueue} from './peer_queues.js';
 
 export interface InterruptedStream {
   readonly request: RequestId;
   readonly rank: Rank;
   readonly costTokens: number;
+  /** Time of its last event; the stream with the oldest one goes first. */
+  readonly interruptedAtMs: number;
   /** Whether it may continue on the chain of this first server. */
   readonly mayContinueOn: (first: ServerAddress) => boolean;
   /** Whether it may continue only at servers on which it has run. */
@@ -41,20 +44,26 @@
   eligible(): InterruptedStream[] {
     if (this.streams.size === 0) return [];
     return [...this.streams.values()]
-      .sort((a, b) => rankIndex(a.rank) - rankIndex(b.rank))
+      .sort(compareTurns)
       .filter((stream, index) => index < stream.availableRetries());
   }
 
   /**
-   * Tokens of the streams for which other entries should leave free tokens.
-   * Those that may use only certain chains are left out, since others would
-   * leave tokens on all chains.
+   * The streams for which other entries should leave free tokens. Those that
+   * may use only certain chains are left out, since others would leave tokens
+   * on all chains.
    */
-  reportedTokens(chains: readonly ServerChain[]): number {
-    return this.eligible()
+  report(chains: readonly ServerChain[], nowMs: number): RankQueue {
+    const streams = this.eligible()
       .filter(stream => !stream.isRestricted())
-      .filter(({costTokens}) => chains.some(c => fits(c, costTokens)))
-      .reduce((sum, {costTokens}) => sum + costTokens, 0);
+      .filter(({costTokens}) => chains.some(c => fits(c, costTokens)));
+    return {
+      tokens: streams.reduce((sum, {costTokens}) => sum + costTokens, 0),
+      oldestAgeMs: Math.max(
+        0,
+        ...streams.map(({interruptedAtMs}) => nowMs - interruptedAtMs),
+      ),
+    };
   }
 
   /**
@@ -76,6 +85,11 @@
   }
 }
 
+function compareTurns(a: InterruptedStream, b: InterruptedStream): number {
+  const byRank = rankIndex(a.rank) - rankIndex(b.rank);
+  return byRank || a.interruptedAtMs - b.interruptedAtMs;
+}
+
 /** Returns the index of the chain with most free tokens for it, -1 if none. */
 function largestUsable(
   {costTokens, mayContinueOn}: InterruptedStream,
--- a/packages/forwarding/src/core/admission/peer_queues.ts
+++ b/packages/forwarding/src/core/admission/peer_queues.ts
@@ -16,8 +16,8 @@
 /** Waiting requests of a service at an entry, indexed by rank. */
 export interface ServiceQueues {
   readonly service: ServiceId;
-  /** Tokens of the streams that lost their chain; none if absent. */
-  readonly interruptedTokens?: number;
+  /** Streams that lost their chain; none if absent. */
+  readonly interrupted?: RankQueue;
   readonly ranks: readonly RankQueue[];
 }
 
@@ -32,6 +32,8 @@
 /** Maximum age of a report, a few report intervals; older ones are dropped. */
 const MAX_REPORT_AGE_MS = 600;
 
+const NONE: RankQueue = {tokens: 0, oldestAgeMs: 0};
+
 interface PeerReport {
   readonly queues: readonly ServiceQueues[];
   readonly atMs: number;
@@ -58,8 +60,8 @@
   waitingPeers(service: ServiceId, nowMs: number): number {
     const queues = this.recentQueues(service, nowMs);
     return queues.filter(
-      ({ranks, interruptedTokens = 0}) =>
-        interruptedTokens > 0 || ranks.some(({tokens}) => tokens > 0),
+      ({ranks, interrupted = NONE}) =>
+        interrupted.tokens > 0 || ranks.some(({tokens}) => tokens > 0),
     ).length;
   }
 
@@ -72,8 +74,8 @@
     const {rankIndex, enqueuedAtMs, isOnReservedShare} = place;
     let tokens = 0;
     for (const queues of this.recentQueues(service, nowMs)) {
-      const {ranks, atMs, interruptedTokens = 0} = queues;
-      tokens += interruptedTokens;
+      const {ranks, atMs, interrupted = NONE} = queues;
+      tokens += interrupted.tokens;
       ranks.forEach((queue, index) => {
         const isHigher = index < rankIndex && !isOnReservedShare;
         const isOlder =
@@ -84,6 +86,20 @@
     return tokens;
   }
 
+  /** Tokens of the streams at entries that have an older one than this time. */
+  interruptedAhead(
+    service: ServiceId,
+    interruptedAtMs: number,
+    nowMs: number,
+  ): number {
+    return this.recentQueues(service, nowMs)
+      .filter(
+        ({interrupted = NONE, atMs}) =>
+          atMs - interrupted.oldestAgeMs < interruptedAtMs,
+      )
+      .reduce((sum, {interrupted = NONE}) => sum + interrupted.tokens, 0);
+  }
+
   private recentQueues(
     service: ServiceId,
     nowMs: number,
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -325,19 +325,26 @@
 
 function toInterruptedTuples({
   service,
-  interruptedTokens = 0,
+  interrupted,
 }: ServiceQueues): InterruptedTuple[] {
-  return interruptedTokens > 0 ? [[service, interruptedTokens]] : [];
+  if (!interrupted || interrupted.tokens === 0) return [];
+  const {tokens, oldestAgeMs} = interrupted;
+  return [[service, tokens, Math.round(oldestAgeMs)]];
 }
 
 function toServiceQueues({
   queues = [],
   interrupted = [],
 }: EntryReport): ServiceQueues[] {
-  const interruptedTokens = new Map(interrupted);
+  const interruptedByService = new Map(
+    interrupted.map(([service, tokens, oldestAgeMs]) => [
+      service,
+      {tokens, oldestAgeMs},
+    ]),
+  );
   return queues.map(([service, ranks]) => ({
     service: service as ServiceId,
-    interruptedTokens: interruptedTokens.get(service) ?? 0,
+    interrupted: interruptedByService.get(service),
     ranks: ranks.map(([tokens, oldestAgeMs]) => ({tokens, oldestAgeMs})),
   }));
 }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -606,6 +606,7 @@
       request,
       rank,
       costTokens,
+      interruptedAtMs: this.lastEventAtMs,
       mayContinueOn: first => this.chainFilter()(first),
       isRestricted: () => this.allowedServers() !== undefined,
       availableRetries: () => budget.available(service, nowMs()),
--- a/packages/forwarding/test/many_entries_test.ts
+++ b/packages/forwarding/test/many_entries_test.ts
@@ -80,6 +80,8 @@
     const MIN_THROUGHPUT = 0.9;
     /** More than there are KV-cache tokens for. */
     const URGENT_REQUESTS = Math.ceil(CONCURRENT_REQUESTS * 1.1);
+    /** Callers leave 2 s after the last event at the earliest. */
+    const MAX_RESUME_WAIT_MS = 1800;
     /** Share that the ranks below the urgent one keep. */
     const RESERVED_SHARE = 0.08;
 
@@ -121,6 +123,32 @@
       );
     });
 
+    // Guards against streams that wait in vain, most of their work done, while
+    // new requests take each token that becomes free (incident LOST).
+    it('continue the requests of a lost chain before new ones', () => {
+      const fleet = new EntryFleet();
+      fleet.registerServers();
+      const intervalMs = RUN_MS / (CONCURRENT_REQUESTS * (4 / 3));
+      const lossAtMs = 2 * RUN_MS;
+      let isLost = false;
+      for (let i = 0; fleet.nowMs < 2 * lossAtMs; i++) {
+        const entry = fleet.entries[(i * 13) % ENTRY_COUNT];
+        entry.enqueue(`r${i}`, i % 3 === 0 ? 'urgent' : 'ordinary', 425);
+        if (fleet.nowMs < i * intervalMs) fleet.advance(STEP_MS);
+        if (isLost || fleet.nowMs < lossAtMs) continue;
+        isLost = true;
+        const chains = [...fleet.entries[0].admission.currentChains()];
+        chains.sort((a, b) => a.capacityTokens - b.capacityTokens);
+        fleet.loseChain(chains[0]);
+      }
+      const waitsMs = [...fleet.resumedAfterMs].sort((a, b) => a - b);
+      expect(fleet.interrupted).toBeGreaterThan(10);
+      expect(waitsMs.length).toEqual(fleet.interrupted);
+      expect(waitsMs.at(-1) ?? Infinity).toBeLessThanOrEqual(
+        MAX_RESUME_WAIT_MS,
+      );
+    });
+
     // Guards against ranks that only count within one entry (incident 6).
     it('serve urgent requests of one entry before others of its peers', () => {
       const fleet = queueRequests();
