Suspect no server that a left request has not reached

A request that leaves its path before it was sent, because a later server is suspected and not replaced, counted as lost by the first server, which then was suspected too. It now only counts as not run.

Found by reading. A test says that such a request, also one that may run only once, goes to another server; it was run with this change only, and the case of a sound first server has no test. stream_silence 17 and stream_relay 26 passed.

--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -550,7 +550,11 @@
   private abandonServer(cause: string): void {
     const wasSent = this.upstream?.wasSent ?? false;
     this.upstream?.abort();
-    this.handleServerLoss(cause, wasSent);
+    if (wasSent) return this.handleServerLoss(cause, true);
+    // Nothing has reached the first server, which may be sound.
+    this.lastCause = cause;
+    this.promptGuard.endRun();
+    this.continueOrEnd(this.path[0].server.address, false);
   }
 
   /**
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -88,6 +88,7 @@
   readonly request: UpstreamRequest;
   readonly handlers: UpstreamHandlers;
   isAborted: boolean;
+  wasSent: boolean;
 }
 
 export class FakeUpstream extends Upstream {
--- a/packages/forwarding/test/stream_silence_test.ts
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -312,6 +312,19 @@
     expectCompletes(harness);
   });
 
+  it('is sent elsewhere if it has not reached its suspected server', async () => {
+    const harness = new RelayHarness({isResumable: false});
+    const {lastSent: unsent} = harness;
+    unsent.wasSent = false;
+    harness.fleet.suspect(unsent.request.address);
+    await harness.advance(100);
+    expect(unsent.isAborted).toEqual(true);
+    expect(harness.upstream.sent.length).toEqual(2);
+    expect(harness.lastSent.request.address).not.toEqual(
+      unsent.request.address,
+    );
+  });
+
   it('goes on while a later server is suspected and not replaced', async () => {
     const harness = new RelayHarness({isResumable: false});
     harness.receiveHead();
