Move the continuation of a stream into a module of its own

StreamRelay decided whether and where a stream continues, counted attempts and knew the servers it has run on, beside forwarding its events. These parts are StreamContinuation now.

--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -17,7 +17,6 @@
   WireCodec,
 } from '../adapter/platform_adapter.js';
 import type {
-  ChainLack,
   ModelAdmission,
   WaitingRequest,
 } from '../admission/model_admission.js';
@@ -43,14 +42,11 @@
   unconfirmedRefusal,
   type InvalidResponse,
 } from './check_response.js';
-import {
-  allowedFirstServers,
-  decideStream,
-  type StreamDecision,
-} from './decide_stream.js';
+import type {StreamDecision} from './decide_stream.js';
 import {EventSplitter, type SplitEvents} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 import {PromptGuard} from './prompt_guard.js';
+import {StreamContinuation} from './stream_continuation.js';
 import {ReplacementPaths} from './replacement_paths.js';
 import type {StreamProgress} from './stalled_paths.js';
 import {createStreamHandlers, type ErrorResponse} from './stream_response.js';
@@ -129,11 +125,7 @@
   private lastEventAtMs = 0;
   private firstEventAtMs: number | undefined;
   private longestPauseMs = 0;
-  private attempts = 0;
   private repaths = 0;
-  /** Number of attempts that a server refused without running them. */
-  private refusedAttempts = 0;
-  private mayHaveRun = false;
   private isHeadSent = false;
   /** Media type of the head that was sent to the caller. */
   private mediaType = '';
@@ -142,20 +134,13 @@
   private replaceFromMs = 0;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
-  /**
-   * Time since which the stream waits for a chain with free capacity or for a
-   * retry; undefined while it does not.
-   */
-  private waitingSinceMs: number | undefined;
   private isFinished = false;
   private lastCause = '';
   private readonly promptGuard: PromptGuard;
   private readonly replacements: ReplacementPaths;
-  private readonly failedFirstServers = new Set<ServerAddress>();
+  private readonly continuation: StreamContinuation;
   /** First servers to which the request has been sent. */
   private readonly sentTo = new Set<ServerAddress>();
-  /** First servers that may have run the request. */
-  private readonly mayHaveRunOn = new Set<ServerAddress>();
 
   constructor(
     private readonly exchange: CallerExchange,
@@ -182,6 +167,12 @@
       costTokens,
       options,
     );
+    this.continuation = new StreamContinuation(
+      accepted,
+      queuedRequest,
+      admission,
+      options,
+    );
     exchange.res.once('close', () => this.handleCallerDisconnect());
   }
 
@@ -239,11 +230,7 @@
       return this.handleDeadline();
     }
     if (this.promptGuard.shouldStopRun) return this.endQuarantined();
-    if (this.waitingSinceMs !== undefined) {
-      // A chain that failed this stream before may have recovered.
-      this.failedFirstServers.clear();
-      return;
-    }
+    if (this.continuation.isWaiting) return this.continuation.forgetFailures();
     if (this.path.length === 0 || this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
@@ -274,7 +261,7 @@
       // Until then it may be queued, or its tokens are processed again.
       this.hasEventOnPath &&
       hasOtherActiveStreams &&
-      this.canContinueElsewhere(nowMs)
+      this.continuation.canContinueElsewhere(first)
     ) {
       return this.abandonServer('stalled while other streams have events');
     }
@@ -284,32 +271,6 @@
     if (silentMs >= thresholdMs) failureDetector.queryServer(first);
   }
 
-  /** Whether the stream would go on at once if it left its first server. */
-  private canContinueElsewhere(nowMs: number): boolean {
-    if (this.decide(nowMs).kind !== 'resume') return false;
-    const {budget, service} = this.options;
-    if (budget.available(service, nowMs) < 1) return false;
-    const first = this.path[0].server.address;
-    const mayContinueOn = this.chainFilter();
-    return this.admission.hasFreeTokensOn(
-      this.queuedRequest.costTokens,
-      address => address !== first && mayContinueOn(address),
-    );
-  }
-
-  /** Decides what follows if the stream has lost its server. */
-  private decide(nowMs: number, mayHaveRun = this.mayHaveRun): StreamDecision {
-    const {budget, service} = this.options;
-    return decideStream({
-      isResumable: this.accepted.route.isResumable,
-      isHeadSent: this.isHeadSent,
-      mayHaveRun,
-      attempts: this.attempts - this.refusedAttempts,
-      remainingMs: this.accepted.deadlineAtMs - nowMs,
-      hasRetryBudget: budget.available(service, nowMs) >= 1,
-    });
-  }
-
   private send(path: ServerPath): void {
     const {options, exchange, accepted} = this;
     if (!this.promptGuard.tryStartRun()) return this.endQuarantined();
@@ -321,7 +282,7 @@
     this.replaceFromMs = now;
     this.migrateFromMs = now + MIGRATION_SPREAD_MS * Math.random();
     if (!this.isHeadSent) this.lastEventAtMs = now;
-    this.attempts++;
+    this.continuation.recordAttempt();
     const {lastEventId} = this.splitter;
     const headers = options.wire.toServerHeaders(
       exchange.req.rawHeaders,
@@ -389,9 +350,8 @@
 
   /** Forwards the response head of the first server that responds. */
   private forwardHead(headers: string[]): void {
-    this.mayHaveRun = true;
     const first = this.path[0].server.address;
-    this.mayHaveRunOn.add(first);
+    this.continuation.recordRun(first);
     const {loads, holds, nowMs} = this.options;
     loads.recordAcceptance(first);
     for (const {server} of this.path)
@@ -506,7 +466,7 @@
       this.lastCause = `status ${status} at ${faulty}`;
       return this.continueOrEnd(first, true);
     }
-    this.mayHaveRun = true;
+    this.continuation.mayHaveRun = true;
     if (this.isHeadSent) return this.handleServerLoss(`status ${status}`, true);
     if (isRefusalStatus && !this.accepted.route.isResumable)
       return this.handleServerLoss(unconfirmedRefusal(status), true);
@@ -527,8 +487,7 @@
       this.options.failureDetector.suspectServer(first, cause, this.sentAtMs);
       return this.continueOrEnd(first, false);
     }
-    this.mayHaveRun = true;
-    this.mayHaveRunOn.add(first);
+    this.continuation.recordRun(first);
     if (!this.promptGuard.mayHaveCausedLoss)
       return this.continueOrEnd(first, false);
     // The request may have ended the server and would end the next one too.
@@ -567,10 +526,8 @@
     const {nowMs, budget, metrics, service} = this.options;
     const now = nowMs();
     const availableRetries = budget.available(service, now);
-    // A refused request has not run and does not count as an attempt.
-    if (isRefusal) this.refusedAttempts++;
-    this.failedFirstServers.add(first);
-    const decision = this.decide(now);
+    this.continuation.recordFailure(first, isRefusal);
+    const decision = this.continuation.decide(this.isHeadSent);
     const reason = this.retryReason(isRefusal);
     this.releaseReservation();
     this.path = [];
@@ -587,7 +544,7 @@
       this.splitter.startResponse(this.isHeadSent);
       // The queue knows no limit on the servers that a request may run on.
       const mayQueue =
-        kind === 'queue_again' && this.allowedServers() === undefined;
+        kind === 'queue_again' && !this.continuation.isRestricted;
       if (!mayQueue) return this.continueOnChain();
       budget.tryAcquire(service, now);
       return this.admission.requeue(this.queuedRequest);
@@ -603,85 +560,35 @@
 
   /** Continues on a chain with free capacity, at once or when there is one. */
   private continueOnChain(): void {
-    const {budget, service, nowMs} = this.options;
-    const {request, rank, costTokens} = this.queuedRequest;
-    this.waitingSinceMs = nowMs();
-    this.admission.resume({
-      request,
-      rank,
-      costTokens,
-      interruptedAtMs: this.lastEventAtMs,
-      mayContinueOn: first => this.chainFilter()(first),
-      isRestricted: () => this.allowedServers() !== undefined,
-      availableRetries: () => budget.available(service, nowMs()),
-      resume: chain => this.resumeOn(chain),
+    const {continuation} = this;
+    continuation.waitForChain(this.lastEventAtMs, ({path}) => {
+      this.reservedFirstServer = path[0].server.address;
+      const next = formatPath(path);
+      this.log('stream resumed', {next, ...this.waitFields()});
+      continuation.stopWaiting();
+      this.send(path);
     });
-    if (this.waitingSinceMs !== undefined && !this.isFinished) this.logWait();
-  }
-
-  private resumeOn({path}: ServerChain): void {
-    const {budget, service, nowMs} = this.options;
-    budget.tryAcquire(service, nowMs());
-    this.reservedFirstServer = path[0].server.address;
-    this.log('stream resumed', {next: formatPath(path), ...this.waitFields()});
-    this.waitingSinceMs = undefined;
-    this.send(path);
-  }
-
-  /** Returns whether the stream may continue on the chain of a first server. */
-  private chainFilter(): (first: ServerAddress) => boolean {
-    const allowed = this.allowedServers();
-    return first =>
-      allowed ? allowed.has(first) : !this.failedFirstServers.has(first);
-  }
-
-  private logWait(): void {
-    const {waitsFor} = this;
+    if (!continuation.isWaiting || this.isFinished) return;
+    const {waitsFor} = continuation;
     this.log('stream waits for a chain', {waitsFor, ...this.waitFields()});
   }
 
-  /** What keeps the stream from continuing; undefined if it does not wait. */
-  private get waitsFor(): ChainLack | 'retry_budget' | undefined {
-    if (this.waitingSinceMs === undefined) return undefined;
-    const {budget, service, nowMs} = this.options;
-    if (budget.available(service, nowMs()) < 1) return 'retry_budget';
-    const {costTokens} = this.queuedRequest;
-    return this.admission.chainLack(costTokens, this.chainFilter());
-  }
-
   /** Times that tell which limit a waiting stream may reach. */
   private waitFields(): object {
-    const now = this.options.nowMs();
-    const {waitingSinceMs} = this;
+    const remainingMs = this.accepted.deadlineAtMs - this.options.nowMs();
     return {
       silentMs: this.silentMs(),
-      remainingMs: Math.round(this.accepted.deadlineAtMs - now),
-      waitedMs:
-        waitingSinceMs === undefined
-          ? undefined
-          : Math.round(now - waitingSinceMs),
+      remainingMs: Math.round(remainingMs),
+      waitedMs: this.continuation.waitedMs,
     };
   }
 
-  /**
-   * First servers to which the route's limit restricts the request, if any. A
-   * suspected server counts as long as it is registered, since it may be alive.
-   */
-  private allowedServers(): ReadonlySet<ServerAddress> | undefined {
-    const {fleet} = this.options;
-    return allowedFirstServers(
-      this.mayHaveRunOn,
-      address => !fleet.findByAddress(address),
-      this.accepted.route.maxAttempts,
-    );
-  }
-
   /** Ends a stream that cannot be completed. */
   private endIncomplete(decision: StreamDecision): void {
     const {refusals} = this.options;
     const peer = this.path[0]?.server.address;
     const detail = this.lastCause;
-    const {waitsFor} = this;
+    const {waitsFor} = this.continuation;
     this.finish();
     if (decision.kind === 'cut') {
       const {endedBy} = decision;
@@ -698,7 +605,8 @@
       this.exchange.res.destroy();
       return;
     }
-    const isNotRun = decision.kind === 'refuse' || !this.mayHaveRun;
+    const isNotRun =
+      decision.kind === 'refuse' || !this.continuation.mayHaveRun;
     const refusal = isNotRun
       ? refuse('no_chain', 'prefill', {
           peer,
@@ -717,8 +625,8 @@
     this.lastCause = 'a part of the prompt ends servers';
     if (this.isHeadSent)
       return this.endIncomplete({kind: 'cut', endedBy: 'quarantined'});
-    if (this.mayHaveRun || isRunning) {
-      this.mayHaveRun = true;
+    if (this.continuation.mayHaveRun || isRunning) {
+      this.continuation.mayHaveRun = true;
       return this.endIncomplete({kind: 'fail'});
     }
     const retryAfterMs = Math.ceil(this.promptGuard.blockedForMs());
@@ -746,8 +654,9 @@
    */
   private leaveSuspected(cause: string): void {
     const now = this.options.nowMs();
-    const mayHaveRun = this.mayHaveRun || (this.upstream?.wasSent ?? false);
-    const {kind} = this.decide(now, mayHaveRun);
+    const mayHaveRun =
+      this.continuation.mayHaveRun || (this.upstream?.wasSent ?? false);
+    const {kind} = this.continuation.decide(this.isHeadSent, mayHaveRun);
     if (kind === 'resume' || kind === 'queue_again')
       return this.abandonServer(cause);
     this.replaceFromMs = now + REPLACE_RETRY_INTERVAL_MS;
@@ -806,7 +715,7 @@
   private handleCallerDisconnect(): void {
     if (this.isFinished) return;
     this.upstream?.abort();
-    const {waitsFor} = this;
+    const {waitsFor} = this.continuation;
     this.finish();
     this.log('caller left', {waitsFor, ...this.waitFields()});
   }
@@ -845,7 +754,7 @@
       ...this.exchange.logFields(),
       promptParts: this.exchange.metadata.sharedPromptParts.join(','),
       path: formatPath(this.path),
-      attempts: this.attempts,
+      attempts: this.continuation.attempts,
       repaths: this.repaths,
       sentMs: since(this.sentAtMs),
       firstEventMs: since(this.firstEventAtMs),
