Do not keep an ended process alive for a slow call

Since slow calls stay on their server, the check for another server repeats. leaving_servers_test leaves a call open on a clock that stands still; its nine tests passed, but its process did not end and the file failed at the limit of 180 s. The repeated timer no longer keeps a process alive.

The file passes again (9 tests), as do slow_calls (3) and calls (13).

--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -397,7 +397,10 @@
     // The server may be sound, so the attempt is not given up for nothing.
     if (isSlow && !this.canRetryElsewhere(kind, now)) {
       const remainingMs = this.accepted.deadlineAtMs - now;
-      return this.setAttemptTimer(remainingMs, SLOW_CALL_CHECK_INTERVAL_MS);
+      this.setAttemptTimer(remainingMs, SLOW_CALL_CHECK_INTERVAL_MS);
+      // A call that goes on must not keep a process alive that has ended.
+      this.timer?.unref();
+      return;
     }
     this.upstream?.abort();
     const cause = isSlow
