--- /dev/null
+++ b/packages/forwarding/src/core/admission/chain_places.ts
@@ -0,0 +1,130 @@
+/**
+ * The chains of a model and their free KV-cache tokens, as this entry may use
+ * them.
+ */
+import type {RequestId, ServiceId} from '@azurecrank/core';
+import type {ServerAddress} from '../fleet/backend_server.js';
+import type {FleetView} from '../fleet/fleet_view.js';
+import {findChains, type ServerChain} from '../paths/find_chains.js';
+import {formatPath} from '../paths/server_path.js';
+import type {ModelSpec} from '../routing/routing_table.js';
+import type {ChainLoads} from './chain_loads.js';
+import {chooseChain, chooseContendedChain} from './choose_chain.js';
+import type {PeerQueues} from './peer_queues.js';
+
+export interface ChainPlacesOptions {
+  readonly service: ServiceId;
+  readonly availabilityZone: string;
+  readonly fleet: FleetView;
+  readonly loads: ChainLoads;
+  readonly peerQueues: PeerQueues;
+  readonly model: () => ModelSpec | undefined;
+  readonly nowMs: () => number;
+  /** Called when the chains of the model have changed. */
+  readonly onChainsChanged: (chains: readonly ServerChain[]) => void;
+}
+
+/** What a stream that lost its chain waits for. */
+export type ChainLack =
+  /** No servers together hold all layers. */
+  | 'no_chain'
+  /** Chains with free tokens begin at servers that it may not use. */
+  | 'allowed_servers'
+  /** No chain has enough free tokens or is open. */
+  | 'free_chain';
+
+export class ChainPlaces {
+  private chains: ServerChain[] = [];
+  private chainsRevision = -1;
+  private chainsModel: ModelSpec | undefined;
+
+  constructor(private readonly options: ChainPlacesOptions) {}
+
+  /** Chains of usable servers, cached until the fleet or model changes. */
+  current(): ServerChain[] {
+    const {fleet, loads, service, model, nowMs} = this.options;
+    const spec = model();
+    const isCached =
+      fleet.revision === this.chainsRevision && spec === this.chainsModel;
+    if (isCached) return this.chains;
+    this.chainsRevision = fleet.revision;
+    this.chainsModel = spec;
+    const before = describeChains(this.chains);
+    this.chains = spec ? findChains(spec, fleet.usable(service)) : [];
+    const hasChanged = describeChains(this.chains) !== before;
+    if (hasChanged) {
+      loads.recordChains(service, this.chains, nowMs());
+      this.options.onChainsChanged(this.chains);
+    }
+    return this.chains;
+  }
+
+  /** Chains that get requests, if they have free tokens. */
+  open(nowMs: number): ServerChain[] {
+    const {loads} = this.options;
+    return this.current().filter(chain => loads.isOpen(chain, nowMs));
+  }
+
+  /** Free tokens of each chain. */
+  freeTokens(nowMs: number): number[] {
+    const {loads} = this.options;
+    return this.current().map(chain => loads.freeTokens(chain, nowMs));
+  }
+
+  /** Whether any chain has enough free tokens for a request. */
+  hasFreeTokens(tokens: number): boolean {
+    return this.hasFreeTokensOn(tokens, () => true);
+  }
+
+  /** Whether an allowed chain has enough free tokens for a request. */
+  hasFreeTokensOn(
+    tokens: number,
+    isAllowed: (first: ServerAddress) => boolean,
+  ): boolean {
+    const {loads, nowMs} = this.options;
+    const now = nowMs();
+    return this.current().some(
+      chain =>
+        isAllowed(chain.path[0].server.address) &&
+        loads.hasFreeTokens(chain, tokens, now),
+    );
+  }
+
+  /** Returns why a stream that lost its chain does not continue. */
+  lackOf(
+    tokens: number,
+    isAllowed: (first: ServerAddress) => boolean,
+  ): ChainLack {
+    const firsts = this.current().map(({path}) => path[0].server.address);
+    if (firsts.length === 0) return 'no_chain';
+    const isExcluded = !firsts.some(isAllowed) || this.hasFreeTokens(tokens);
+    return isExcluded ? 'allowed_servers' : 'free_chain';
+  }
+
+  /** Time for which servers of every chain want no requests, 0 if not all. */
+  heldForMs(nowMs: number): number {
+    const {loads} = this.options;
+    const chains = this.current();
+    if (chains.length === 0) return 0;
+    return Math.min(...chains.map(chain => loads.heldForMs(chain, nowMs)));
+  }
+
+  /** Reserves tokens on one of the chains, if any has enough free ones. */
+  reserve(
+    chains: readonly ServerChain[],
+    request: RequestId,
+    tokens: number,
+    nowMs: number,
+  ): ServerChain | undefined {
+    const {loads, availabilityZone, peerQueues, service} = this.options;
+    const chain = peerQueues.isContended(service, nowMs)
+      ? chooseContendedChain(chains, loads, tokens, request, nowMs)
+      : chooseChain(chains, loads, tokens, availabilityZone, nowMs);
+    if (chain) loads.reserve(chain.path[0].server.address, tokens, nowMs);
+    return chain;
+  }
+}
+
+function describeChains(chains: readonly ServerChain[]): string {
+  return chains.map(({path}) => formatPath(path)).join(';');
+}
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -9,26 +9,20 @@
   type RefusalReason,
   rankIndex,
   type RequestId,
-  type ServiceId,
 } from '@azurecrank/core';
-import type {ServerAddress} from '../fleet/backend_server.js';
-import type {FleetView} from '../fleet/fleet_view.js';
 import {
   totalStreamsPerS,
   typicalStreamTokens,
 } from '../paths/chain_throughput.js';
-import {findChains, type ServerChain} from '../paths/find_chains.js';
-import {formatPath} from '../paths/server_path.js';
-import type {ModelSpec} from '../routing/routing_table.js';
-import type {ChainLoads} from './chain_loads.js';
+import type {ServerChain} from '../paths/find_chains.js';
+import {ChainPlaces, type ChainPlacesOptions} from './chain_places.js';
 import {
   InterruptedStreams,
   type InterruptedStream,
 } from './interrupted_streams.js';
-import type {PeerQueues, ServiceQueues} from './peer_queues.js';
+import type {ServiceQueues} from './peer_queues.js';
 import type {WaitingQueue, WaitReason} from './queue_wait_reporter.js';
 import {AdmissionRateMeter} from './admission_rate_meter.js';
-import {chooseChain, chooseContendedChain} from './choose_chain.js';
 import {RetryAfterSchedule} from './retry_after_schedule.js';
 
 export interface WaitingRequest extends QueuedItem {
@@ -41,27 +35,6 @@
   readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
 }
 
-export interface ModelAdmissionOptions {
-  readonly service: ServiceId;
-  readonly availabilityZone: string;
-  readonly fleet: FleetView;
-  readonly loads: ChainLoads;
-  readonly peerQueues: PeerQueues;
-  readonly model: () => ModelSpec | undefined;
-  readonly nowMs: () => number;
-  /** Called when the chains of the model have changed. */
-  readonly onChainsChanged: (chains: readonly ServerChain[]) => void;
-}
-
-/** What a stream that lost its chain waits for. */
-export type ChainLack =
-  /** No servers together hold all layers. */
-  | 'no_chain'
-  /** Chains with free tokens begin at servers that it may not use. */
-  | 'allowed_servers'
-  /** No chain has enough free tokens or is open. */
-  | 'free_chain';
-
 /**
  * Tokens of a typical request: its prompt and half of its response, according
  * to the users' data sheets.
@@ -92,27 +65,25 @@
   private readonly interrupted = new InterruptedStreams();
   private readonly rateMeter = new AdmissionRateMeter();
   private readonly retrySchedule = new RetryAfterSchedule();
-  private chains: ServerChain[] = [];
-  private chainsRevision = -1;
-  private chainsModel: ModelSpec | undefined;
+  /** The chains of the model and their free tokens. */
+  readonly places: ChainPlaces;
 
-  constructor(private readonly options: ModelAdmissionOptions) {}
+  constructor(private readonly options: ChainPlacesOptions) {
+    this.places = new ChainPlaces(options);
+  }
 
   /**
    * The waiting requests, for the reports to other entries. While this entry
    * may send to no chain, there are none for which others should leave tokens.
    */
   queues(): ServiceQueues {
-    const {service, loads, nowMs} = this.options;
+    const {service, nowMs} = this.options;
     const now = nowMs();
-    if (this.heldForMs(now) > 0) {
+    if (this.places.heldForMs(now) > 0) {
       const none = {tokens: 0, oldestAgeMs: 0};
       return {service, ranks: RANKS.map(() => none)};
     }
-    const interrupted = this.interrupted.report(
-      this.currentChains().filter(chain => loads.isOpen(chain, now)),
-      now,
-    );
+    const interrupted = this.interrupted.report(this.places.open(now), now);
     const tokens = this.queue.waitingCostByRank();
     const oldestAtMs = this.queue.oldestEnqueuedAtMs();
     return {
@@ -128,17 +99,13 @@
   /** Returns the queue and why its requests wait; undefined if none does. */
   waitingQueue(): WaitingQueue | undefined {
     if (this.queue.size === 0) return undefined;
-    const {loads, nowMs} = this.options;
-    const now = nowMs();
+    const now = this.options.nowMs();
     const oldestAtMs = this.queue.oldestEnqueuedAtMs();
-    const freeTokens = this.currentChains().map(chain =>
-      loads.freeTokens(chain, now),
-    );
     return {
       requests: this.queue.size,
       oldestAgeMs: now - Math.min(...oldestAtMs.map(atMs => atMs ?? now)),
       reason: this.waitReason(now),
-      freeTokens: freeTokens.reduce((sum, tokens) => sum + tokens, 0),
+      freeTokens: sum(this.places.freeTokens(now)),
     };
   }
 
@@ -146,7 +113,7 @@
     const {loads} = this.options;
     const chains = this.currentChains();
     if (chains.length === 0) return 'no_chain';
-    if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS)) {
+    if (this.places.hasFreeTokens(TYPICAL_REQUEST_TOKENS)) {
       const isKept = this.interrupted.eligible().length > 0;
       return isKept ? 'interrupted_first' : 'other_entries_first';
     }
@@ -176,10 +143,10 @@
    */
   private wouldMissDeadline(request: WaitingRequest): boolean {
     const nowMs = this.options.nowMs();
-    const heldForMs = this.heldForMs(nowMs);
+    const heldForMs = this.places.heldForMs(nowMs);
     if (heldForMs > 0)
       return request.firstTokenDeadlineAtMs <= nowMs + heldForMs;
-    if (this.hasFreeTokens(request.costTokens)) return false;
+    if (this.places.hasFreeTokens(request.costTokens)) return false;
     const maxWaitMs = request.firstTokenDeadlineAtMs - nowMs;
     const expectedWaitMs = this.expectedWaitMs(request, nowMs);
     return expectedWaitMs > maxWaitMs * EARLY_REFUSAL_WAIT_FACTOR;
@@ -213,25 +180,8 @@
     return (tokensAhead + request.costTokens) / tokensPerMs;
   }
 
-  /** Whether any chain can admit a request that uses this many tokens. */
-  private hasFreeTokens(tokens: number): boolean {
-    const {loads, nowMs} = this.options;
-    const now = nowMs();
-    return this.currentChains().some(chain =>
-      loads.hasFreeTokens(chain, tokens, now),
-    );
-  }
-
-  /** Time for which servers of every chain want no requests, 0 if not all. */
-  private heldForMs(nowMs: number): number {
-    const {loads} = this.options;
-    const chains = this.currentChains();
-    if (chains.length === 0) return 0;
-    return Math.min(...chains.map(chain => loads.heldForMs(chain, nowMs)));
-  }
-
   private refusalReason(nowMs: number): RefusalReason {
-    if (this.heldForMs(nowMs) > 0) return 'server_backoff';
+    if (this.places.heldForMs(nowMs) > 0) return 'server_backoff';
     return this.currentChains().length > 0
       ? 'deadline_unreachable'
       : 'no_chain';
@@ -247,7 +197,7 @@
         nowMs,
         leftMs,
         requestsPerMs,
-        this.heldForMs(nowMs),
+        this.places.heldForMs(nowMs),
       ),
     );
   }
@@ -281,7 +231,7 @@
    */
   processQueue(): void {
     const now = this.options.nowMs();
-    const heldForMs = this.heldForMs(now);
+    const heldForMs = this.places.heldForMs(now);
     for (const item of this.queue.expire(now + heldForMs)) {
       this.refuse(item, this.refusalReason(now));
     }
@@ -290,20 +240,19 @@
     this.resumeInterrupted(now);
     this.admitWaiting(now);
     if (this.queue.size > 0) this.rateMeter.startMeasuring(now);
-    else if (this.hasFreeTokens(TYPICAL_REQUEST_TOKENS))
+    else if (this.places.hasFreeTokens(TYPICAL_REQUEST_TOKENS))
       this.rateMeter.stopMeasuring();
   }
 
   private admitWaiting(now: number): void {
-    const {loads} = this.options;
     const chains = this.currentChains();
     if (chains.length === 0 || this.queue.size === 0) return;
     for (;;) {
       const free = this.interrupted.tokensLeft(
         chains,
-        chains.map(chain => loads.freeTokens(chain, now)),
+        this.places.freeTokens(now),
       );
-      const totalFree = free.reduce((sum, tokens) => sum + tokens, 0);
+      const totalFree = sum(free);
       const largestFree = Math.max(...free);
       const item = this.queue.next(
         now,
@@ -314,7 +263,12 @@
       );
       if (!item) return;
       const open = chains.filter((_, i) => free[i] >= item.costTokens);
-      const chain = this.reserve(open, item, now);
+      const chain = this.places.reserve(
+        open,
+        item.request,
+        item.costTokens,
+        now,
+      );
       if (!chain) return;
       this.rateMeter.recordAdmission(item.costTokens, now);
       item.admit(chain);
@@ -329,12 +283,13 @@
       if (!this.interrupted.has(stream)) continue;
       const isFirst =
         stream.isRestricted() ||
-        costTokens + this.interruptedAhead(stream, now) <= this.totalFree(now);
+        costTokens + this.interruptedAhead(stream, now) <=
+          sum(this.places.freeTokens(now));
       if (!isFirst) continue;
       const allowed = this.currentChains().filter(({path}) =>
         mayContinueOn(path[0].server.address),
       );
-      const chain = this.reserve(allowed, stream, now);
+      const chain = this.places.reserve(allowed, request, costTokens, now);
       if (!chain) continue;
       this.interrupted.remove(request);
       stream.resume(chain);
@@ -350,28 +305,6 @@
     return peerQueues.interruptedAhead(service, interruptedAtMs, now);
   }
 
-  /** Free tokens of all chains. */
-  private totalFree(now: number): number {
-    const {loads} = this.options;
-    return this.currentChains()
-      .map(chain => loads.freeTokens(chain, now))
-      .reduce((sum, tokens) => sum + tokens, 0);
-  }
-
-  /** Reserves tokens on one of the chains, if any has enough free ones. */
-  private reserve(
-    chains: readonly ServerChain[],
-    {request, costTokens}: Pick<WaitingRequest, 'request' | 'costTokens'>,
-    now: number,
-  ): ServerChain | undefined {
-    const {loads, availabilityZone, peerQueues, service} = this.options;
-    const chain = peerQueues.isContended(service, now)
-      ? chooseContendedChain(chains, loads, costTokens, request, now)
-      : chooseChain(chains, loads, costTokens, availabilityZone, now);
-    if (chain) loads.reserve(chain.path[0].server.address, costTokens, now);
-    return chain;
-  }
-
   /** Tokens of the requests that other entries admit before this one. */
   private tokensAhead(
     {rank, enqueuedAtMs}: WaitingRequest,
@@ -387,51 +320,12 @@
     return peerQueues.tokensAhead(service, place, nowMs);
   }
 
-  /** Returns why a stream that lost its chain does not continue. */
-  chainLack(
-    tokens: number,
-    isAllowed: (first: ServerAddress) => boolean,
-  ): ChainLack {
-    const firsts = this.currentChains().map(c => c.path[0].server.address);
-    if (firsts.length === 0) return 'no_chain';
-    const isExcluded = !firsts.some(isAllowed) || this.hasFreeTokens(tokens);
-    return isExcluded ? 'allowed_servers' : 'free_chain';
-  }
-
-  /** Whether an allowed chain has enough free tokens for a request. */
-  hasFreeTokensOn(
-    tokens: number,
-    isAllowed: (first: ServerAddress) => boolean,
-  ): boolean {
-    const {loads, nowMs} = this.options;
-    const now = nowMs();
-    return this.currentChains().some(
-      chain =>
-        isAllowed(chain.path[0].server.address) &&
-        loads.hasFreeTokens(chain, tokens, now),
-    );
-  }
-
-  /** Chains of usable servers, cached until the fleet or model changes. */
+  /** Chains of usable servers. */
   currentChains(): ServerChain[] {
-    const {fleet, loads, service, model, nowMs} = this.options;
-    const spec = model();
-    const isCached =
-      fleet.revision === this.chainsRevision && spec === this.chainsModel;
-    if (isCached) return this.chains;
-    this.chainsRevision = fleet.revision;
-    this.chainsModel = spec;
-    const before = describeChains(this.chains);
-    this.chains = spec ? findChains(spec, fleet.usable(service)) : [];
-    const hasChanged = describeChains(this.chains) !== before;
-    if (hasChanged) {
-      loads.recordChains(service, this.chains, nowMs());
-      this.options.onChainsChanged(this.chains);
-    }
-    return this.chains;
+    return this.places.current();
   }
 }
 
-function describeChains(chains: readonly ServerChain[]): string {
-  return chains.map(({path}) => formatPath(path)).join(';');
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/forwarding/src/core/relay/replacement_paths.ts
+++ b/packages/forwarding/src/core/relay/replacement_paths.ts
@@ -66,7 +66,7 @@
     if (!path) return undefined;
     const chain = toChain(this.model, path);
     const isOvercommitted = loads.usedFraction(chain, now) > 1;
-    const hasOtherChain = this.admission.hasFreeTokensOn(
+    const hasOtherChain = this.admission.places.hasFreeTokensOn(
       this.costTokens,
       address => address !== first.server.address,
     );
--- a/packages/forwarding/src/core/relay/stream_continuation.ts
+++ b/packages/forwarding/src/core/relay/stream_continuation.ts
@@ -3,8 +3,8 @@
  * wait for a chain. Knows on which servers the stream has run.
  */
 import type {ServiceId} from '@azurecrank/core';
+import type {ChainLack} from '../admission/chain_places.js';
 import type {
-  ChainLack,
   ModelAdmission,
   WaitingRequest,
 } from '../admission/model_admission.js';
@@ -99,7 +99,7 @@
     if (this.decide(true).kind !== 'resume') return false;
     if (this.availableRetries < 1) return false;
     const mayContinueOn = this.chainFilter();
-    return this.admission.hasFreeTokensOn(
+    return this.admission.places.hasFreeTokensOn(
       this.request.costTokens,
       address => address !== first && mayContinueOn(address),
     );
@@ -151,7 +151,7 @@
   get waitsFor(): StreamLack | undefined {
     if (!this.isWaiting) return undefined;
     if (this.availableRetries < 1) return 'retry_budget';
-    return this.admission.chainLack(
+    return this.admission.places.lackOf(
       this.request.costTokens,
       this.chainFilter(),
     );
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 /** Public API of the forwarding entry. */
 export * from './core/adapter/platform_adapter.js';
 export * from './core/admission/chain_loads.js';
+export * from './core/admission/chain_places.js';
 export * from './core/admission/choose_chain.js';
 export * from './core/admission/interrupted_streams.js';
 export * from './core/admission/model_admission.js';
