Hold only requests that nobody may repeat on suspected servers

A resumable stream that could not continue, because its attempts or the retry budget were used up, stayed on a suspected server until its time limit or until its caller left. If the server had really ended, that wait was in vain, while the caller may come back elsewhere at once. Only a request that has run and that may not be repeated gains from waiting: its answer is nowhere else.

--- a/packages/forwarding/src/core/relay/stream_continuation.ts
+++ b/packages/forwarding/src/core/relay/stream_continuation.ts
@@ -82,12 +82,12 @@
   }
 
   /** Decides what follows if the stream has lost its server. */
-  decide(isHeadSent: boolean, mayHaveRun = this.mayHaveRun): StreamDecision {
+  decide(isHeadSent: boolean): StreamDecision {
     const {route, deadlineAtMs} = this.accepted;
     return decideStream({
       isResumable: route.isResumable,
       isHeadSent,
-      mayHaveRun,
+      mayHaveRun: this.mayHaveRun,
       attempts: this.startedAttempts - this.refusedAttempts,
       remainingMs: deadlineAtMs - this.options.nowMs(),
       hasRetryBudget: this.availableRetries >= 1,
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -672,17 +672,15 @@
   }
 
   /**
-   * Leaves a path with suspected servers, unless that would end the request:
-   * the servers may only be silent.
+   * Leaves a path with suspected servers, unless neither this entry nor the
+   * caller may repeat the request: the servers may only be silent.
    */
   private leaveSuspected(cause: string): void {
-    const now = this.options.nowMs();
     const mayHaveRun =
       this.continuation.mayHaveRun || (this.upstream?.wasSent ?? false);
-    const {kind} = this.continuation.decide(this.isHeadSent, mayHaveRun);
-    if (kind === 'resume' || kind === 'queue_again')
+    if (this.accepted.route.isResumable || !mayHaveRun)
       return this.abandonServer(cause);
-    this.replaceFromMs = now + REPLACE_RETRY_INTERVAL_MS;
+    this.replaceFromMs = this.options.nowMs() + REPLACE_RETRY_INTERVAL_MS;
   }
 
   /** Migrates the stream away from servers that are draining or very slow. */
--- a/packages/forwarding/test/stream_silence_test.ts
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -340,3 +340,16 @@
     expectCompletes(harness);
   });
 });
+
+describe('a resumable stream that has not begun', () => {
+  // Guards against a caller that waits at a server without an answer, although
+  // it could try again elsewhere at once.
+  it('is answered when its server is suspected and no retry is left', async () => {
+    const harness = new RelayHarness();
+    harness.useAllRetries();
+    harness.fleet.suspect(harness.lastSent.request.address);
+    await harness.advance(50);
+    expect(harness.res.headersSent).toEqual(true);
+    expect(harness.res.statusCode).toEqual(502);
+  });
+});
