--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -31,6 +31,16 @@
 /** Span over which the entries register again after a restore of the store. */
 const RESTORE_SPREAD_MS = 1000;
 
+export interface EntryDirectoryOptions {
+  readonly keyValue: KeyValueService;
+  /** Name of this entry. */
+  readonly node: string;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Called when missing entries are no longer kept. */
+  readonly onExpiry: () => void;
+}
+
 export class EntryDirectory implements Disposable {
   private readonly addresses = new Map<string, PeerAddress>();
   private readonly unreadable: UnreadableEntries;
@@ -46,16 +56,9 @@
   private isRestored = false;
   private layoutLeaseExists = false;
 
-  /** @param onExpiry called when missing entries are no longer kept */
-  constructor(
-    private readonly keyValue: KeyValueService,
-    private readonly node: string,
-    private readonly logger: Logger,
-    private readonly nowMs: () => number,
-    private readonly onExpiry: () => void,
-  ) {
+  constructor(private readonly options: EntryDirectoryOptions) {
     this.unreadable = new UnreadableEntries(
-      logger,
+      options.logger,
       'entry registration has no valid address; ignored',
     );
   }
@@ -125,7 +128,7 @@
   private dropMissing(): void {
     for (const key of this.missing) this.addresses.delete(key);
     this.missing.clear();
-    this.onExpiry();
+    this.options.onExpiry();
   }
 
   applyChanges(changes: readonly StoreChange[]): void {
@@ -143,7 +146,7 @@
   private setAddress(key: string, value: string): void {
     if (!isSocketAddress(value)) {
       this.addresses.delete(key);
-      this.unreadable.report(key, {step: 'address'}, this.nowMs());
+      this.unreadable.report(key, {step: 'address'}, this.options.nowMs());
       return;
     }
     this.addresses.set(key, value as PeerAddress);
@@ -162,13 +165,16 @@
     this.isRestored = false;
     try {
       const isLeaseAlive =
-        this.lease && (await this.keyValue.keepLeaseAlive(this.lease));
+        this.lease && (await this.options.keyValue.keepLeaseAlive(this.lease));
       if (!isLeaseAlive) await this.register();
     } catch (error) {
-      this.logger.warn('entry registration could not be renewed; retrying', {
-        step: 'register',
-        cause: String(error),
-      });
+      this.options.logger.warn(
+        'entry registration could not be renewed; retrying',
+        {
+          step: 'register',
+          cause: String(error),
+        },
+      );
     }
     this.isRenewing = false;
     if (isRestored && !this.lease) this.isRestored = true;
@@ -186,17 +192,20 @@
 
   private async register(): Promise<void> {
     const {address} = this;
-    const key = ENTRIES_PREFIX + this.node;
+    const key = ENTRIES_PREFIX + this.options.node;
     this.lease = undefined;
-    const lease = await this.keyValue.grantLease(REGISTRATION_TTL_MS);
-    const current = await this.keyValue.get(key);
-    const outcome = await this.keyValue.compareAndSwap(
+    const lease = await this.options.keyValue.grantLease(REGISTRATION_TTL_MS);
+    const current = await this.options.keyValue.get(key);
+    const outcome = await this.options.keyValue.compareAndSwap(
       key,
       address,
       current?.revision ?? 0,
       lease,
     );
     if (outcome.kind === 'written') this.lease = lease;
-    this.logger.info('entry registered', {address, outcome: outcome.kind});
+    this.options.logger.info('entry registered', {
+      address,
+      outcome: outcome.kind,
+    });
   }
 }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -147,9 +147,13 @@
       this.applyTable(table),
     );
     this.directory = this.disposables.add(
-      new EntryDirectory(keyValue, node, logger, nowMs, () =>
-        this.handleEntriesChange(),
-      ),
+      new EntryDirectory({
+        keyValue,
+        node,
+        logger,
+        nowMs,
+        onExpiry: () => this.handleEntriesChange(),
+      }),
     );
     this.retryBudget = new SharedRetryBudget(nowMs(), {
       ratio: settings.retryRatio,
--- a/packages/forwarding/test/entry_directory_test.ts
+++ b/packages/forwarding/test/entry_directory_test.ts
@@ -22,13 +22,13 @@
     changes = 0;
     const keyValue = {} as KeyValueService;
     const logger = new Logger('test', 'silent');
-    directory = new EntryDirectory(
+    directory = new EntryDirectory({
       keyValue,
-      'test',
+      node: 'test',
       logger,
-      () => 0,
-      () => changes++,
-    );
+      nowMs: () => 0,
+      onExpiry: () => changes++,
+    });
     directory.applySnapshot(snapshotOf(ENTRIES));
   });
 
