--- a/packages/forwarding/src/core/admission/chain_places.ts
+++ b/packages/forwarding/src/core/admission/chain_places.ts
@@ -30,6 +30,8 @@
   | 'no_chain'
   /** Chains with free tokens begin at servers that it may not use. */
   | 'allowed_servers'
+  /** Free tokens are left to streams that lost their chain earlier. */
+  | 'earlier_streams'
   /** No chain has enough free tokens or is open. */
   | 'free_chain';
 
@@ -97,6 +99,7 @@
   ): ChainLack {
     const firsts = this.current().map(({path}) => path[0].server.address);
     if (firsts.length === 0) return 'no_chain';
+    if (this.hasFreeTokensOn(tokens, isAllowed)) return 'earlier_streams';
     const isExcluded = !firsts.some(isAllowed) || this.hasFreeTokens(tokens);
     return isExcluded ? 'allowed_servers' : 'free_chain';
   }
--- a/packages/forwarding/test/interrupted_streams_test.ts
+++ b/packages/forwarding/test/interrupted_streams_test.ts
@@ -12,6 +12,7 @@
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {MODEL, laidOutFleet} from './fleet_fixture.js';
+import {SERVICE} from './fleet_fixture.js';
 import {FakeResponse, RelayHarness, requestOf} from './relay_harness.js';
 
 const FAILURE = {cause: 'reset', mayHaveRun: true};
@@ -205,3 +206,44 @@
     }
   });
 });
+
+describe('interrupted streams of other entries that went first', () => {
+  /** An entry whose stream waits behind an older one of another entry. */
+  function waitBehindOlderStream(): RelayHarness {
+    const harness = new RelayHarness();
+    interrupt(harness);
+    freeOnePlace(harness);
+    return harness;
+  }
+
+  function reportOlderStream(harness: RelayHarness): void {
+    const interrupted = {tokens: 100_000, oldestAgeMs: 10_000};
+    const queues = {service: SERVICE, interrupted, ranks: []};
+    harness.peerQueues.setQueues('peer', [queues], harness.nowMs);
+  }
+
+  // Guards against free tokens that nobody takes, because the entry for whose
+  // streams all others leave them cannot use them.
+  it('get free tokens for a limited time', async () => {
+    const harness = waitBehindOlderStream();
+    for (let elapsedMs = 0; elapsedMs < 500; elapsedMs += 50) {
+      if (elapsedMs === 250) expect(harness.upstream.sent.length).toEqual(1);
+      reportOlderStream(harness);
+      await harness.advance(50);
+    }
+    expect(harness.upstream.sent.length).toEqual(2);
+  });
+
+  // Guards against tokens that others leave on a chain that refuses requests of
+  // the streams' own entry.
+  it('are not reported while a chain is closed to them', () => {
+    const harness = new RelayHarness();
+    interrupt(harness);
+    const reported = () => harness.admission.queues().interrupted?.tokens;
+    expect(reported()).toEqual(STREAM_TOKENS);
+    const [{path}] = harness.admission.currentChains();
+    const {nowMs} = harness;
+    harness.loads.recordRefusal(path[0].server.address, nowMs, nowMs);
+    expect(reported()).toEqual(0);
+  });
+});
