Let no interrupted stream hold a retry that it cannot use

The order of interrupted streams was cut to the retries that are left before it was known which of them any chain can take. A stream that may continue only on servers without a chain held the first retry, and with one retry left no other stream of the entry continued; nor were any reported to others.

Only streams that an open chain could take count now, and the retry budget is read once for all of them.

--- a/packages/forwarding/src/core/admission/interrupted_streams.ts
+++ b/packages/forwarding/src/core/admission/interrupted_streams.ts
@@ -40,12 +40,17 @@
     return this.streams.has(request);
   }
 
-  /** Streams that the retry budget lets continue, in the order of their turns. */
-  eligible(): InterruptedStream[] {
-    if (this.streams.size === 0) return [];
-    return [...this.streams.values()]
-      .sort(compareTurns)
-      .filter((stream, index) => index < stream.availableRetries());
+  /**
+   * Streams that can use one of the chains, as many as the retry budget lets
+   * continue, in the order of their turns.
+   */
+  eligible(chains: readonly ServerChain[]): InterruptedStream[] {
+    const usable = [...this.streams.values()].filter(stream =>
+      chains.some(chain => canUse(stream, chain)),
+    );
+    if (usable.length === 0) return [];
+    const retries = Math.floor(usable[0].availableRetries());
+    return usable.sort(compareTurns).slice(0, Math.max(0, retries));
   }
 
   /**
@@ -54,9 +59,9 @@
    * on all chains.
    */
   report(chains: readonly ServerChain[], nowMs: number): RankQueue {
-    const streams = this.eligible()
-      .filter(stream => !stream.isRestricted())
-      .filter(({costTokens}) => chains.some(c => fits(c, costTokens)));
+    const streams = this.eligible(chains).filter(
+      stream => !stream.isRestricted(),
+    );
     return {
       tokens: streams.reduce((sum, {costTokens}) => sum + costTokens, 0),
       oldestAgeMs: Math.max(
@@ -76,7 +81,7 @@
     freeTokens: readonly number[],
   ): number[] {
     const left = [...freeTokens];
-    for (const stream of this.eligible()) {
+    for (const stream of this.eligible(chains)) {
       const index = largestUsable(stream, chains, left);
       if (index < 0) continue;
       left[index] = Math.max(0, left[index] - stream.costTokens);
@@ -92,21 +97,25 @@
 
 /** Returns the index of the chain with most free tokens for it, -1 if none. */
 function largestUsable(
-  {costTokens, mayContinueOn}: InterruptedStream,
+  stream: InterruptedStream,
   chains: readonly ServerChain[],
   freeTokens: readonly number[],
 ): number {
   let best = -1;
   chains.forEach((chain, index) => {
-    const isUsable =
-      mayContinueOn(chain.path[0].server.address) && fits(chain, costTokens);
-    if (!isUsable || freeTokens[index] === 0) return;
+    if (!canUse(stream, chain) || freeTokens[index] === 0) return;
     if (best < 0 || freeTokens[index] > freeTokens[best]) best = index;
   });
   return best;
 }
 
-/** Whether the chain could admit the tokens if no others were in use. */
-function fits({capacityTokens}: ServerChain, tokens: number): boolean {
-  return capacityTokens * ADMISSIBLE_CAPACITY_FRACTION >= tokens;
+/** Whether the stream could continue on the chain if nothing else ran there. */
+function canUse(
+  {costTokens, mayContinueOn}: InterruptedStream,
+  {path, capacityTokens}: ServerChain,
+): boolean {
+  return (
+    mayContinueOn(path[0].server.address) &&
+    capacityTokens * ADMISSIBLE_CAPACITY_FRACTION >= costTokens
+  );
 }
--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -132,7 +132,8 @@
     const chains = this.currentChains();
     if (chains.length === 0) return 'no_chain';
     if (this.places.hasFreeTokens(TYPICAL_REQUEST_TOKENS)) {
-      const isKept = this.interrupted.eligible().length > 0;
+      const isKept =
+        this.interrupted.eligible(this.places.open(now)).length > 0;
       return isKept ? 'interrupted_first' : 'other_entries_first';
     }
     const isAnyClosed = chains.some(
@@ -295,7 +296,7 @@
   }
 
   private resumeInterrupted(now: number): void {
-    for (const stream of this.interrupted.eligible()) {
+    for (const stream of this.interrupted.eligible(this.places.open(now))) {
       const {request, costTokens, mayContinueOn} = stream;
       // A resumed stream uses a retry, and may be lost again at once.
       if (stream.availableRetries() < 1) return;
--- a/packages/forwarding/test/interrupted_streams_test.ts
+++ b/packages/forwarding/test/interrupted_streams_test.ts
@@ -11,8 +11,7 @@
   type ServerAddress,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {MODEL, laidOutFleet} from './fleet_fixture.js';
-import {SERVICE} from './fleet_fixture.js';
+import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
 import {FakeResponse, RelayHarness, requestOf} from './relay_harness.js';
 
 const FAILURE = {cause: 'reset', mayHaveRun: true};
@@ -97,10 +96,22 @@
       streamOf('c', 1, {rank: 'urgent', interruptedAtMs: 30}),
       streamOf('d', 1, {interruptedAtMs: 10}),
     );
-    const order = interrupted.eligible().map(({request}) => request);
+    const order = interrupted.eligible(chains).map(({request}) => request);
     expect(order.map(String)).toEqual(['c', 'd', 'b', 'a']);
   });
 
+  // Guards against a stream that no chain can take and that holds the only
+  // retry, so that no other stream of the entry continues.
+  it('leave the retries to streams that a chain can take', () => {
+    const interrupted = waiting(
+      streamOf('a', 1, {allowed: [], availableRetries: 1}),
+      streamOf('b', 1, {interruptedAtMs: 20, availableRetries: 1}),
+    );
+    const order = interrupted.eligible(chains).map(({request}) => request);
+    expect(order.map(String)).toEqual(['b']);
+    expect(interrupted.report(chains, 30).tokens).toEqual(1);
+  });
+
   // Guards against small new requests that take the tokens one by one for
   // which a large stream waits.
   it('keep the free tokens of the chain on which they will soonest fit', () => {
