Encode a message to several peers once and feed the detector lazily

Change: the last frame is kept for the next receiver of the same message; the detector is told of the last receipt only before another event. Peers count the bytes that they exchange.

--- a/packages/core/src/core/wire/frames.ts
+++ b/packages/core/src/core/wire/frames.ts
@@ -18,11 +18,23 @@
 
 export class FrameError extends Error {}
 
+let lastMessage: Message | undefined;
+let lastFrame: Buffer | undefined;
+
 /**
- * Encodes one message with its length header.
+ * Encodes one message with its length header. A message that goes to several
+ * peers in a row is encoded once; its frame must not be changed.
  * @throws FrameError if the message is too long.
  */
 export function encodeFrame(message: Message): Buffer {
+  if (message === lastMessage && lastFrame) return lastFrame;
+  const frame = createFrame(message);
+  lastMessage = message;
+  lastFrame = frame;
+  return frame;
+}
+
+function createFrame(message: Message): Buffer {
   const body = encoder.encode(message);
   if (body.length > MAX_FRAME_BYTES) {
     throw new FrameError(`frame of ${body.length} bytes exceeds the limit`);
@@ -33,6 +45,18 @@
   return frame;
 }
 
+/** Encodes a part of a message that others pass on unchanged. */
+export function encodePart(part: object): Uint8Array {
+  return Uint8Array.from(encoder.encode(part));
+}
+
+/** @throws FrameError if the bytes are no CBOR map. */
+export function decodePart(bytes: Uint8Array): object {
+  const value = decodeObject(bytes);
+  if (value === undefined) throw new FrameError('part is not a map');
+  return value;
+}
+
 /** Splits a byte stream into messages. */
 export class FrameDecoder {
   private chunks: Buffer[] = [];
@@ -76,15 +100,20 @@
   }
 }
 
-function decodeMessage(bytes: Buffer): Message {
+function decodeMessage(bytes: Uint8Array): Message {
+  const value = decodeObject(bytes);
+  if (value === undefined || !('type' in value)) {
+    throw new FrameError('frame is not a message');
+  }
+  return value as Message;
+}
+
+function decodeObject(bytes: Uint8Array): object | undefined {
   let value: unknown;
   try {
     value = decoder.decode(bytes);
   } catch (error) {
     throw new FrameError(`frame is not CBOR: ${String(error)}`);
   }
-  if (typeof value !== 'object' || value === null || !('type' in value)) {
-    throw new FrameError('frame is not a message');
-  }
-  return value as Message;
+  return typeof value === 'object' && value !== null ? value : undefined;
 }
--- a/packages/core/src/core/wire/peer_connection.ts
+++ b/packages/core/src/core/wire/peer_connection.ts
@@ -9,6 +9,11 @@
   onClose(connection: PeerConnection, cause: string): void;
 }
 
+export interface PeerTraffic {
+  readonly receivedBytes: number;
+  readonly sentBytes: number;
+}
+
 export class PeerConnection implements Disposable {
   private readonly decoder = new FrameDecoder();
   private isClosed = false;
@@ -32,6 +37,12 @@
     return !this.isClosed;
   }
 
+  /** Bytes received from and written to the peer. */
+  get traffic(): PeerTraffic {
+    const {bytesRead, bytesWritten} = this.socket;
+    return {receivedBytes: bytesRead, sentBytes: bytesWritten};
+  }
+
   /** Bytes buffered in this process that the kernel has not accepted yet. */
   get bufferedBytes(): number {
     return this.socket.writableLength;
--- a/packages/core/src/core/wire/peer_link.ts
+++ b/packages/core/src/core/wire/peer_link.ts
@@ -5,6 +5,8 @@
 import {
   FailureDetector,
   type FailureDetectorOptions,
+  type PeerDecision,
+  type PeerEvent,
 } from '../detection/failure_detector.js';
 import type {PeerAddress} from '../ids/ids.js';
 import type {Hello, Message} from './messages.js';
@@ -31,8 +33,10 @@
   readonly unsent: Message[] = [];
   /** Whether the connection replaces one lost with unanswered messages. */
   isReconnect = false;
-  readonly detector: FailureDetector;
+  private readonly detector: FailureDetector;
   private isAwaitingPong = false;
+  /** Time of a receipt of which the detector has not been told yet. */
+  private receivedAtMs: number | undefined;
   private readonly unanswered = new Map<string, UnansweredMessage>();
 
   constructor(
@@ -116,15 +120,26 @@
 
   recordReceived(): void {
     this.isReconnect = false;
-    this.notifyDetector('received');
+    this.receivedAtMs = performance.now();
     if (!this.isAwaitingPong) return;
     this.isAwaitingPong = false;
     this.notifyDetector('settled');
   }
 
-  private notifyDetector(
-    type: 'received' | 'sent_expecting_answer' | 'settled',
-  ): void {
-    this.detector.handle({type, nowMs: performance.now()});
+  /**
+   * Passes an event to the failure detector and returns its decision. Messages
+   * arrive much more often than anything depends on them, so the detector is
+   * told of the last one only before another event.
+   */
+  detect(event: PeerEvent): PeerDecision | undefined {
+    const {receivedAtMs} = this;
+    this.receivedAtMs = undefined;
+    if (receivedAtMs !== undefined)
+      this.detector.handle({type: 'received', nowMs: receivedAtMs});
+    return this.detector.handle(event);
+  }
+
+  private notifyDetector(type: 'sent_expecting_answer' | 'settled'): void {
+    this.detect({type, nowMs: performance.now()});
   }
 }
--- a/packages/core/src/core/wire/peer_node.ts
+++ b/packages/core/src/core/wire/peer_node.ts
@@ -12,7 +12,7 @@
 import {listenOn} from '../lifecycle/listen_on.js';
 import {PauseMonitor} from '../lifecycle/pause_monitor.js';
 import type {Hello, Message} from './messages.js';
-import {PeerConnection} from './peer_connection.js';
+import {PeerConnection, type PeerTraffic} from './peer_connection.js';
 import {PeerLink, type LostMessage} from './peer_link.js';
 
 /** Timeout for establishing a TCP connection. */
@@ -60,6 +60,8 @@
   private readonly pauseMonitor = new PauseMonitor();
   private readonly healthTimer: NodeJS.Timeout;
   private pingSeq = 0;
+  /** Bytes of connections that are closed. */
+  private closedTraffic: PeerTraffic = {receivedBytes: 0, sentBytes: 0};
   private isDisposed = false;
 
   constructor(
@@ -137,6 +139,16 @@
     return [...this.outgoing.values(), ...this.accepted];
   }
 
+  /** Bytes exchanged with all peers since the start. */
+  get traffic(): PeerTraffic {
+    let {receivedBytes, sentBytes} = this.closedTraffic;
+    for (const {connection} of this.links()) {
+      receivedBytes += connection?.traffic.receivedBytes ?? 0;
+      sentBytes += connection?.traffic.sentBytes ?? 0;
+    }
+    return {receivedBytes, sentBytes};
+  }
+
   [Symbol.dispose](): void {
     this.isDisposed = true;
     clearInterval(this.healthTimer);
@@ -223,6 +235,11 @@
     connection: PeerConnection,
     cause: string,
   ): void {
+    const {receivedBytes, sentBytes} = connection.traffic;
+    this.closedTraffic = {
+      receivedBytes: this.closedTraffic.receivedBytes + receivedBytes,
+      sentBytes: this.closedTraffic.sentBytes + sentBytes,
+    };
     if (link.connection !== connection) return;
     link.connection = undefined;
     this.accepted.delete(link);
@@ -257,7 +274,7 @@
     this.pauseMonitor.tick();
     const nowMs = performance.now();
     for (const link of [...this.outgoing.values()]) {
-      const decision = link.detector.handle({type: 'tick', nowMs});
+      const decision = link.detect({type: 'tick', nowMs});
       if (decision) this.executeDecision(link, decision);
     }
   }
@@ -289,7 +306,7 @@
    */
   private probe(link: PeerLink): void {
     const notifyDetector = (type: 'probe_answered' | 'probe_failed') =>
-      link.detector.handle({type, nowMs: performance.now()});
+      link.detect({type, nowMs: performance.now()});
     const fail = (cause: string) => {
       if (notifyDetector('probe_failed') === 'declare_down') {
         this.declareDown(link, cause);
@@ -329,8 +346,8 @@
   /** Keeps a pause of this process from counting as silence of its peers. */
   private handlePause(pausedMs: number): void {
     const nowMs = performance.now();
-    for (const {detector} of this.outgoing.values()) {
-      detector.handle({type: 'paused', nowMs, pausedMs});
+    for (const link of this.outgoing.values()) {
+      link.detect({type: 'paused', nowMs, pausedMs});
     }
   }
 }
