Give no layout order after the lease was handed over

Cause: the holder that stops asks a server for its state before it orders it. If it handed the lease over meanwhile, it gave the order all the same, while the next holder gave its own under the same fencing number. And a handover that arrived after another entry had acquired the lease was taken. Change: the fencing number is compared again after the report, and a handover below the highest known number is refused.

--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -31,6 +31,8 @@
   readonly table: () => RoutingTable | undefined;
   /** Whether any entry was last seen to hold the lease. */
   readonly isLeaseHeld: () => boolean;
+  /** Factor on the delays between attempts to acquire the lease; 1 if absent. */
+  readonly attemptDelayFactor?: () => number;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly nowMs: () => number;
@@ -112,6 +114,12 @@
 
   /** Takes over the lease from an entry that stops. */
   adoptLease(lease: Lease): void {
+    const {logger} = this.options;
+    if (lease.fence < this.highestFence) {
+      const fields = {fence: lease.fence, newer: this.highestFence};
+      logger.warn('layout lease was handed over too late', fields);
+      return;
+    }
     this.options.lease.acceptHandover(lease);
     this.refreshedAtMs = -Infinity;
     this.isHolder = true;
@@ -167,8 +175,11 @@
       });
     }
     this.isCheckRunning = false;
+    const {attemptDelayFactor = () => 1} = this.options;
     const waitMs =
-      LEASE_ATTEMPT_MEAN_DELAY_MS * (MIN_JITTER_FACTOR + Math.random());
+      LEASE_ATTEMPT_MEAN_DELAY_MS *
+      (MIN_JITTER_FACTOR + Math.random()) *
+      attemptDelayFactor();
     const periodMs =
       this.pendingOrders.size > 0
         ? PENDING_ORDERS_CHECK_INTERVAL_MS
@@ -369,6 +380,11 @@
         this.pendingOrders.delete(server.server);
         return;
       }
+      // Another entry may have taken over while the server reported.
+      if (lease.fence !== fence) {
+        this.pendingOrders.delete(server.server);
+        return;
+      }
       const outcome = await control.placeLayers({
         server,
         range,
--- a/packages/forwarding/test/layout_runner_test.ts
+++ b/packages/forwarding/test/layout_runner_test.ts
@@ -1,4 +1,4 @@
-import {beforeEach, describe, it, mock} from 'node:test';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {Logger, Metrics, type KeyValueService} from '@azurecrank/core';
 import {
   FleetView,
@@ -22,6 +22,8 @@
   isLeaseHeld = false;
   readonly orders: FencedLayoutOrder[] = [];
   reports = 0;
+  /** Called before each report is returned. */
+  onReport: () => Promise<void> = async () => {};
   outcomeOf: (order: FencedLayoutOrder) => OrderOutcome = () => ({
     kind: 'accepted',
   });
@@ -45,6 +47,7 @@
     const control = {
       fetchReport: async () => {
         this.reports++;
+        await this.onReport();
         return {orderSequence: 0, isBusy: false, isLeaving: false};
       },
       placeLayers: async (order: FencedLayoutOrder) => {
@@ -90,6 +93,11 @@
     harness.runner.start();
   });
 
+  afterEach(() => {
+    harness.runner[Symbol.dispose]();
+    mock.timers.reset();
+  });
+
   // Guards against a former holder that goes on as if it held the lease after
   // a server has refused its fencing number.
   it('is no holder any more after a server has refused its fence', async () => {
@@ -104,4 +112,43 @@
     await harness.advance(900);
     expect(harness.reports).toEqual(reports);
   });
+
+  describe('that hands the lease over', () => {
+    // Guards against orders of two entries at once: the former holder has asked
+    // a server for its state and orders it after the handover.
+    it('sends no order for which it waited', async () => {
+      let answer = () => {};
+      harness.onReport = () => new Promise(resolve => (answer = resolve));
+      for (let i = 0; i < 100 && harness.reports === 0; i++)
+        await harness.advance(STEP_MS);
+      expect(harness.reports).toBeGreaterThan(0);
+      expect(harness.runner.handOverLease()).not.toEqual(undefined);
+      harness.onReport = async () => {};
+      answer();
+      await harness.advance(2000);
+      expect(harness.orders).toEqual([]);
+    });
+  });
+
+  describe('that gets a lease handed over', () => {
+    const lease = {lease: 'l', fence: 7, ttlMs: 3500};
+
+    it('orders with its fencing number', async () => {
+      harness.isLeaseHeld = true;
+      harness.runner.adoptLease(lease);
+      await harness.advance(3000);
+      expect(harness.orders.length).toBeGreaterThan(0);
+      expect(harness.orders.every(({fence}) => fence === 7)).toEqual(true);
+    });
+
+    // Guards against a handover that arrives late, after another entry has
+    // acquired the lease.
+    it('does not take it if a newer holder is known', async () => {
+      harness.isLeaseHeld = true;
+      harness.runner.recordFence(8);
+      harness.runner.adoptLease(lease);
+      await harness.advance(3000);
+      expect(harness.orders).toEqual([]);
+    });
+  });
 });
