Estimate how many tokens servers put into an event

Cause: a path counted as slow if its events came 1.6 times later than servers with two tokens an event send them.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -223,6 +223,11 @@
     return this.slowServers.slowdownFactorOf(address) >= MIN_VERY_SLOW_FACTOR;
   }
 
+  /** Whether the server is known to be slower than others of its kind. */
+  isSlow(address: ServerAddress): boolean {
+    return this.slowServers.slowdownFactorOf(address) > 1;
+  }
+
   /** Servers that reported to this entry to be slow, with their factors. */
   ownSlowServers(): Array<[ServerAddress, number]> {
     return this.slowServers.ownReports();
@@ -445,6 +450,21 @@
       });
   }
 
+  /** Whether the server may get requests and is as it was when it was listed. */
+  isUsableAs(listed: BackendServer): boolean {
+    const {address} = listed;
+    const server = this.servers.get(listed.server);
+    return (
+      server !== undefined &&
+      !this.isLeaving(server) &&
+      !this.suspicions.has(address) &&
+      !this.refusals.has(address) &&
+      isSameServer(server, listed) &&
+      this.slowServers.slowdownFactorOf(address) ===
+        (listed.slowdownFactor ?? 1)
+    );
+  }
+
   private countChange(hasChanged: boolean): boolean {
     if (hasChanged) this.changeCount++;
     return hasChanged;
--- a/packages/forwarding/src/core/relay/event_interval_monitor.ts
+++ b/packages/forwarding/src/core/relay/event_interval_monitor.ts
@@ -19,8 +19,15 @@
 /** A chain is slow above this multiple of its expected interval. */
 const MIN_SLOW_FACTOR = 1.6;
 
-/** Tokens per event, according to the users' data sheets. */
-const TOKENS_PER_EVENT = 2;
+/** Tokens per event at the least, according to the users' data sheets. */
+const MIN_TOKENS_PER_EVENT = 2;
+
+/**
+ * Chains whose intervals are known from which the tokens per event are
+ * estimated: the intervals of one chain do not tell a slow one from one whose
+ * servers put more tokens into an event.
+ */
+const MIN_COMPARED_CHAINS = 2;
 
 /** Typical number of requests in a batch; each one lengthens the step. */
 const TYPICAL_BATCH_REQUESTS = 40;
@@ -35,6 +42,8 @@
 
 export class EventIntervalMonitor {
   private readonly statsByFirstServer = new Map<ServerAddress, IntervalStats>();
+  /** Last mean interval of each chain as a multiple of its time per token. */
+  private readonly tokenTimes = new Map<ServerAddress, number>();
 
   /** Records an interval; returns whether the mean should be compared now. */
   record(firstServer: ServerAddress, measuredMs: number): boolean {
@@ -54,16 +63,32 @@
   }
 
   isSlow(model: ModelSpec, path: ServerPath): boolean {
-    const stats = this.statsByFirstServer.get(path[0].server.address);
+    const first = path[0].server.address;
+    const stats = this.statsByFirstServer.get(first);
     if (!stats) return false;
-    return stats.meanMs > MIN_SLOW_FACTOR * expectedIntervalMs(model, path);
+    const tokenTimes = stats.meanMs / expectedIntervalMs(model, path, 1);
+    this.tokenTimes.set(first, tokenTimes);
+    return tokenTimes > MIN_SLOW_FACTOR * this.tokensPerEvent();
+  }
+
+  /** The fastest chain shows how many tokens servers put into an event. */
+  private tokensPerEvent(): number {
+    if (this.tokenTimes.size < MIN_COMPARED_CHAINS) return MIN_TOKENS_PER_EVENT;
+    return Math.max(
+      MIN_TOKENS_PER_EVENT,
+      Math.min(...this.tokenTimes.values()),
+    );
   }
 }
 
 /** Expected interval between the events of one stream in a typical batch. */
-export function expectedIntervalMs(model: ModelSpec, path: ServerPath): number {
+export function expectedIntervalMs(
+  model: ModelSpec,
+  path: ServerPath,
+  tokensPerEvent = MIN_TOKENS_PER_EVENT,
+): number {
   const batchMs = model.stepPerSequenceMs * TYPICAL_BATCH_REQUESTS;
   const {stepMs} = toChain(model, path);
   const loadedMs = stepMs * (1 + batchMs / model.stepMs);
-  return TOKENS_PER_EVENT * (loadedMs + SAME_ZONE_HOP_MS * path.length);
+  return tokensPerEvent * (loadedMs + SAME_ZONE_HOP_MS * path.length);
 }
--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -39,8 +39,12 @@
 /** Timeout of a report or health check; servers respond within milliseconds. */
 const REPORT_TIMEOUT_MS = 350;
 
-/** Minimum interval between queries of all servers of a slow path. */
+/**
+ * Minimum interval between queries of all servers of a slow path. It doubles
+ * with each time that none of them turned out to be slow.
+ */
 const MIN_SLOW_PATH_QUERY_INTERVAL_MS = 3000;
+const MAX_SLOW_PATH_QUERY_INTERVAL_MS = 48_000;
 
 /** Shows that nothing listens at the address, so no lossy link is to blame. */
 const CONNECTION_REFUSED_CODE = 'ECONNREFUSED';
@@ -66,6 +70,12 @@
 /** A first server counts as active for this time after an event. */
 const ACTIVE_MS = 400;
 
+/** When the servers of a slow path may be queried again. */
+interface SlowPathQuery {
+  readonly intervalMs: number;
+  readonly nextAtMs: number;
+}
+
 /** A time in which events of a first server were at most `ACTIVE_MS` apart. */
 interface ActiveSpan {
   readonly sinceMs: number;
@@ -75,7 +85,7 @@
 export class PathFailureDetector {
   private readonly lastQueryAtMs = new Map<ServerAddress, number>();
   private readonly lastPathProbeAtMs = new Map<ServerAddress, number>();
-  private readonly lastSlowPathQueryAtMs = new Map<ServerAddress, number>();
+  private readonly slowPathQueries = new Map<ServerAddress, SlowPathQuery>();
   private readonly eventIntervals = new EventIntervalMonitor();
   private readonly activeSpans = new Map<ServerAddress, ActiveSpan>();
   private readonly endedQueries = new Map<
@@ -103,15 +113,25 @@
     if (!this.eventIntervals.isSlow(model, path)) return;
     this.eventIntervals.clear(first);
     const now = this.options.nowMs();
-    const lastMs = this.lastSlowPathQueryAtMs.get(first) ?? -Infinity;
-    if (now - lastMs < MIN_SLOW_PATH_QUERY_INTERVAL_MS) return;
-    this.lastSlowPathQueryAtMs.set(first, now);
+    if (now < (this.slowPathQueries.get(first)?.nextAtMs ?? 0)) return;
+    this.slowPathQueries.set(first, this.nextSlowPathQuery(path, now));
     this.options.logger.info('path is slow', {path: formatPath(path)});
     for (const {server} of path) {
       if (!this.isOnHold(server.address)) void this.fetchReport(server.address);
     }
   }
 
+  private nextSlowPathQuery(path: ServerPath, nowMs: number): SlowPathQuery {
+    const last = this.slowPathQueries.get(path[0].server.address);
+    const {fleet} = this.options;
+    const wasInVain =
+      last && !path.some(({server}) => fleet.isSlow(server.address));
+    const intervalMs = wasInVain
+      ? Math.min(2 * last.intervalMs, MAX_SLOW_PATH_QUERY_INTERVAL_MS)
+      : MIN_SLOW_PATH_QUERY_INTERVAL_MS;
+    return {intervalMs, nextAtMs: nowMs + intervalMs};
+  }
+
   /**
    * Time for which streams whose paths begin at this server have had events
    * without a long pause; 0 if none had one lately.
--- a/packages/forwarding/test/paths_test.ts
+++ b/packages/forwarding/test/paths_test.ts
@@ -83,6 +83,26 @@
     for (let i = 0; i < 80; i++) speeds.record(first, 3 * usualMs);
     expect(speeds.isSlow(MODEL, path)).toEqual(true);
   });
+
+  // Guards against reports of all servers, again and again, from servers that
+  // put more tokens into an event (quiet days of large fleets).
+  it('are not needed when all servers put many tokens into an event', () => {
+    const speeds = new EventIntervalMonitor();
+    const paths = findChains(MODEL, fleet).map(({path}) => path);
+    expect(paths.length).toBeGreaterThan(1);
+    const isSlow = (slowPath?: (typeof paths)[number]) => {
+      for (const path of paths) {
+        const intervalMs = expectedIntervalMs(MODEL, path, 5);
+        const factor = path === slowPath ? 3 : 1;
+        for (let i = 0; i < 80; i++)
+          speeds.record(path[0].server.address, factor * intervalMs);
+      }
+      for (const path of paths) speeds.isSlow(MODEL, path);
+      return paths.map(path => speeds.isSlow(MODEL, path));
+    };
+    expect(isSlow()).toEqual(paths.map(() => false));
+    expect(isSlow(paths[1])).toEqual(paths.map((_, i) => i === 1));
+  });
 });
 
 describe('hasProgress', () => {
