Exchange the reports of entries over relays

Cause: each entry sent all it knows to each other one every 200 ms, at each change of any server and at each loss, and each watched a link to each. The cost of an entry grew with the fleet and that of the fleet with its square: a third to a half of the processor that an entry of the large site has. Change: above 16 entries, two relays for each group of up to 16 near entries pass reports on. All entries derive the same relays from the directory, whose keys now name the zone. Reports are sent when something has changed, urgent ones at once. Smaller fleets report to all directly, as before. Entries of the earlier release are still understood.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -126,6 +126,11 @@
     help: 'Reads of the host list without an answer',
     owners: ENTRY,
   },
+  azurecrank_peer_bytes: {
+    kind: 'gauge',
+    help: 'Bytes exchanged with other entries since the start, by direction',
+    owners: ENTRY,
+  },
   azurecrank_document_version: {
     kind: 'gauge',
     help: 'Held version of the configuration and the plan',
--- a/packages/core/src/core/wire/messages.ts
+++ b/packages/core/src/core/wire/messages.ts
@@ -323,16 +323,21 @@
   readonly usedTokens: Readonly<Record<string, number>>;
   /**
    * Queued requests by service and rank: their tokens, and the milliseconds for
-   * which the oldest has waited. Absent in the reports of earlier releases.
+   * which the oldest has waited. In a fleet report there is one item for each
+   * entry with waiting requests, or for several, whose number follows then.
+   * Absent in the reports of earlier releases.
    */
   readonly queues?: ReadonlyArray<
-    readonly [string, ReadonlyArray<readonly [number, number]>]
+    readonly [string, ReadonlyArray<readonly [number, number]>, number?]
   >;
   /**
    * Started streams that wait for another chain, by service: their tokens, and
-   * the milliseconds for which the oldest has waited. Absent if there are none.
+   * the milliseconds for which the oldest has waited; in a fleet report also the
+   * index of their item in `queues`. Absent if there are none.
    */
-  readonly interrupted?: ReadonlyArray<readonly [string, number, number]>;
+  readonly interrupted?: ReadonlyArray<
+    readonly [string, number, number, number?]
+  >;
   /** Incarnations of draining servers: id and start time (Unix ms). */
   readonly leaving: ReadonlyArray<readonly [string, number]>;
   /** Addresses of servers that the entry suspects because they do not answer. */
@@ -379,6 +384,74 @@
   readonly layoutFence: number;
 }
 
+/** One report of an entry on its way through relays. */
+export interface RelayedReport {
+  /** Node and instance of the entry that made the report. */
+  readonly node: string;
+  readonly instance: InstanceId;
+  /** Rises with each report of the instance. */
+  readonly seq: number;
+  /** Time since the first relay received the report, in milliseconds. */
+  readonly ageMs: number;
+  /** The encoded `EntryReport`, which relays pass on unchanged. */
+  readonly body: Uint8Array;
+}
+
+interface FromEntry {
+  readonly configVersion: ConfigVersion;
+  /** Address at which the sender accepts connections. */
+  readonly address: PeerAddress;
+  readonly isStopping: boolean;
+  /** Whether the receiver passes it on at once. */
+  readonly isUrgent: boolean;
+}
+
+/** Report of an entry to one of its relays. */
+export interface RelayReport extends FromEntry, Omit<RelayedReport, 'ageMs'> {
+  readonly type: 'relay_report';
+  /** Whether the entry goes by what this relay sends it. */
+  readonly isPrimary: boolean;
+}
+
+/** Reports that a relay has received from its entries, for other relays. */
+export interface RelayedReports extends FromEntry {
+  readonly type: 'relayed_reports';
+  readonly reports: readonly RelayedReport[];
+}
+
+/** What a relay knows of all entries but the receiver, in one report. */
+export interface FleetReport extends FromEntry {
+  readonly type: 'fleet_report';
+  /** Number of entries that the report stands for. */
+  readonly entries: number;
+  readonly report: EntryReport;
+}
+
+/** Asks a relay for what it last read from the store. */
+export interface StoreReadRequest {
+  readonly type: 'store_read';
+  readonly id: number;
+  readonly prefix: string;
+  /** Waits for changes after this revision; reads the whole prefix if absent. */
+  readonly afterRevision?: number;
+  readonly waitMs: number;
+}
+
+/** `unavailable` if the relay does not read the store itself at present. */
+export type StoreReadKind =
+  'snapshot' | 'changes' | 'history_lost' | 'unavailable';
+
+/** Answer to `store_read`. */
+export interface StoreReadResult {
+  readonly type: 'store_read_result';
+  readonly id: number;
+  readonly kind: StoreReadKind;
+  readonly revision: number;
+  readonly era: number;
+  /** Deflated JSON of keys and values; `null` for a removed key. */
+  readonly data: Uint8Array;
+}
+
 /**
  * Passes the lease for ordering layouts to the receiver, because the sender
  * stops. Without the handover nobody could acquire the lease while the
@@ -394,6 +467,11 @@
 export type Message =
   | LayoutHandover
   | EntryReport
+  | RelayReport
+  | RelayedReports
+  | FleetReport
+  | StoreReadRequest
+  | StoreReadResult
   | Hello
   | Ping
   | Pong
--- a/packages/forwarding/src/core/admission/peer_queues.ts
+++ b/packages/forwarding/src/core/admission/peer_queues.ts
@@ -17,8 +17,15 @@
 export interface ServiceQueues {
   readonly service: ServiceId;
   /** Streams that lost their chain; none if absent. */
-  readonly interrupted?: RankQueue;
+  readonly interrupted?: RankQueue | undefined;
   readonly ranks: readonly RankQueue[];
+  /** Number of entries that the queues are of, if it is not 1. */
+  readonly entries?: number | undefined;
+}
+
+/** Whether any request of the service waits. */
+export function hasWaiting({ranks, interrupted = NONE}: ServiceQueues) {
+  return interrupted.tokens > 0 || ranks.some(({tokens}) => tokens > 0);
 }
 
 /** Place of a request among those of all entries. */
@@ -42,7 +49,7 @@
 export class PeerQueues {
   private readonly reports = new Map<string, PeerReport>();
 
-  /** Replaces the queues reported by a peer. */
+  /** Replaces the queues reported by a peer, or by several under one name. */
   setQueues(
     node: string,
     queues: readonly ServiceQueues[],
@@ -58,11 +65,9 @@
 
   /** Number of other entries at which requests of the service wait. */
   waitingPeers(service: ServiceId, nowMs: number): number {
-    const queues = this.recentQueues(service, nowMs);
-    return queues.filter(
-      ({ranks, interrupted = NONE}) =>
-        interrupted.tokens > 0 || ranks.some(({tokens}) => tokens > 0),
-    ).length;
+    return this.recentQueues(service, nowMs)
+      .filter(hasWaiting)
+      .reduce((sum, {entries = 1}) => sum + entries, 0);
   }
 
   /**
@@ -107,9 +112,8 @@
     for (const [node, {atMs}] of this.reports) {
       if (nowMs - atMs > MAX_REPORT_AGE_MS) this.reports.delete(node);
     }
-    return [...this.reports.values()].flatMap(({queues, atMs}) => {
-      const ofService = queues.find(q => q.service === service);
-      return ofService ? [{...ofService, atMs}] : [];
-    });
+    return [...this.reports.values()].flatMap(({queues, atMs}) =>
+      queues.filter(q => q.service === service).map(q => ({...q, atMs})),
+    );
   }
 }
--- a/packages/forwarding/src/core/limits/shared_server_limits.ts
+++ b/packages/forwarding/src/core/limits/shared_server_limits.ts
@@ -26,6 +26,8 @@
   readonly entryCount: () => number;
   /** Number of other entries that have requests of the service waiting. */
   readonly waitingPeers: (service: ServiceId, nowMs: number) => number;
+  /** Time after which the others know of a request; `MIN_SLOT_MS` if absent. */
+  readonly reportDelayMs?: () => number;
   /** Called when a server names another limit than before, or none. */
   readonly onChange: (
     address: ServerAddress,
@@ -39,8 +41,8 @@
 /** Longest span, for limits below one request in `MIN_WINDOW_MS`. */
 const MAX_WINDOW_MS = 20_000;
 
-/** Span within which an entry uses its share of what is left. */
-const SLOT_MS = 200;
+/** Shortest span within which an entry uses its share of what is left. */
+const MIN_SLOT_MS = 200;
 
 /** Maximum age of a report, a few report intervals. */
 const MAX_REPORT_AGE_MS = 1000;
@@ -61,6 +63,8 @@
 interface PeerReport {
   readonly sends: ReadonlyMap<ServerAddress, number>;
   readonly atMs: number;
+  /** Number of entries that the report is of. */
+  readonly entries: number;
 }
 
 export class SharedServerLimits {
@@ -98,8 +102,10 @@
   maySend(address: ServerAddress, service: ServiceId, nowMs: number): boolean {
     const limitPerS = this.limitOf(address, nowMs);
     if (limitPerS === undefined) return true;
-    const slot = Math.floor(nowMs / SLOT_MS);
-    const sentInSlot = this.sends.get(address)?.countSince(slot * SLOT_MS) ?? 0;
+    const {reportDelayMs = () => 0} = this.options;
+    const slotMs = Math.max(MIN_SLOT_MS, reportDelayMs());
+    const slot = Math.floor(nowMs / slotMs);
+    const sentInSlot = this.sends.get(address)?.countSince(slot * slotMs) ?? 0;
     const left = this.leftInWindow(address, limitPerS, nowMs) + sentInSlot;
     const share = left / this.sharers(service, nowMs);
     const chance =
@@ -134,14 +140,18 @@
     });
   }
 
-  /** Replaces what a peer has reported. */
+  /**
+   * Replaces what a peer has reported.
+   * @param entries number of entries that the report is of
+   */
   setPeerReport(
     node: string,
     reports: readonly ServerLimitReport[],
     nowMs: number,
+    entries = 1,
   ): void {
     const sends = new Map(reports.map(r => [r.address, r.sends]));
-    this.peers.set(node, {sends, atMs: nowMs});
+    this.peers.set(node, {sends, atMs: nowMs, entries});
     for (const {address, limitPerS, ageMs} of reports) {
       if (ageMs === undefined) continue;
       const atMs = nowMs - ageMs;
@@ -199,8 +209,8 @@
 
   private freshPeerCount(nowMs: number): number {
     let count = 0;
-    for (const {atMs} of this.peers.values()) {
-      if (nowMs - atMs <= MAX_REPORT_AGE_MS) count++;
+    for (const {atMs, entries} of this.peers.values()) {
+      if (nowMs - atMs <= MAX_REPORT_AGE_MS) count += entries;
     }
     return count;
   }
--- a/packages/forwarding/src/core/peers/entry_directory.ts
+++ b/packages/forwarding/src/core/peers/entry_directory.ts
@@ -8,6 +8,7 @@
 } from '@azurecrank/core';
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
 import {UnreadableEntries} from '../adapter/unreadable_entries.js';
+import type {RegisteredEntry} from './relay_plan.js';
 
 /** Prefix of all keys that entries write. */
 export const ENTRY_STORE_PREFIX = 'azurecrank/';
@@ -22,6 +23,15 @@
 /** A third of the TTL, so that two renewals may fail before it expires. */
 const REGISTRATION_RENEWAL_INTERVAL_MS = 4000;
 
+/**
+ * Interval of an entry on which others rely to read the store. The renewal is
+ * the cheapest call that shows whether the store can be reached.
+ */
+const RELAY_RENEWAL_INTERVAL_MS = 1000;
+
+/** Time after which a renewal shows that the store cannot be reached. */
+const RENEWAL_RESPONSE_MS = 700;
+
 /**
  * Entries whose registration is missing after an outage or a restore of the
  * store register again within this time, if they still run.
@@ -35,6 +45,11 @@
   readonly keyValue: KeyValueService;
   /** Name of this entry. */
   readonly node: string;
+  readonly availabilityZone?: string;
+  /** Whether others read the store by way of this entry. */
+  readonly isRelay?: () => boolean;
+  /** Called with each renewal: whether the store could be reached in time. */
+  readonly onRenewal?: (isStoreReachable: boolean) => void;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Called when missing entries are no longer kept. */
@@ -68,9 +83,22 @@
     return this.addresses.values();
   }
 
+  /** All registered entries, including this one, with their zones. */
+  get registered(): RegisteredEntry[] {
+    const byAddress = new Map<PeerAddress, RegisteredEntry>();
+    for (const [key, address] of this.addresses) {
+      const availabilityZone = zoneOf(key);
+      const known = byAddress.get(address);
+      // An entry that was upgraded may still be registered by its old key.
+      if (known?.availabilityZone === undefined)
+        byAddress.set(address, {address, availabilityZone});
+    }
+    return [...byAddress.values()];
+  }
+
   /** Number of registered entries, including this one; 1 at the least. */
   get entryCount(): number {
-    return Math.max(1, this.addresses.size);
+    return Math.max(1, new Set(this.addresses.values()).size);
   }
 
   /** Whether an entry held the layout lease at the last update. */
@@ -163,11 +191,16 @@
     const {isRestored} = this;
     this.isRenewing = true;
     this.isRestored = false;
+    const {onRenewal = () => {}} = this.options;
+    const slowTimer = setTimeout(() => onRenewal(false), RENEWAL_RESPONSE_MS);
+    slowTimer.unref();
     try {
       const isLeaseAlive =
         this.lease && (await this.options.keyValue.keepLeaseAlive(this.lease));
       if (!isLeaseAlive) await this.register();
+      onRenewal(true);
     } catch (error) {
+      onRenewal(false);
       this.options.logger.warn(
         'entry registration could not be renewed; retrying',
         {
@@ -176,6 +209,7 @@
         },
       );
     }
+    clearTimeout(slowTimer);
     this.isRenewing = false;
     if (isRestored && !this.lease) this.isRestored = true;
     this.scheduleRenewal();
@@ -183,16 +217,20 @@
 
   private scheduleRenewal(): void {
     if (this.isStopped) return;
+    const intervalMs = this.options.isRelay?.()
+      ? RELAY_RENEWAL_INTERVAL_MS
+      : REGISTRATION_RENEWAL_INTERVAL_MS;
     const delayMs = this.isRestored
       ? Math.random() * RESTORE_SPREAD_MS
-      : REGISTRATION_RENEWAL_INTERVAL_MS;
+      : intervalMs;
     this.timer = setTimeout(() => void this.renewRegistration(), delayMs);
     this.timer.unref();
   }
 
   private async register(): Promise<void> {
     const {address} = this;
-    const key = ENTRIES_PREFIX + this.options.node;
+    const {node, availabilityZone} = this.options;
+    const key = entryKey(node, availabilityZone);
     this.lease = undefined;
     const lease = await this.options.keyValue.grantLease(REGISTRATION_TTL_MS);
     const current = await this.options.keyValue.get(key);
@@ -209,3 +247,23 @@
     });
   }
 }
+
+/**
+ * Key of an entry's registration. Entries of earlier releases give no zone, and
+ * read the keys with one like their own.
+ */
+function entryKey(node: string, availabilityZone: string | undefined): string {
+  const zone = availabilityZone && `${encodeURIComponent(availabilityZone)}/`;
+  return `${ENTRIES_PREFIX}${zone ?? ''}${node}`;
+}
+
+function zoneOf(key: string): string | undefined {
+  const name = key.slice(ENTRIES_PREFIX.length);
+  const end = name.indexOf('/');
+  if (end < 0) return undefined;
+  try {
+    return decodeURIComponent(name.slice(0, end));
+  } catch {
+    return name.slice(0, end);
+  }
+}
--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -1,81 +1,51 @@
 /**
- * Exchanges state between entries: used tokens of the chains, draining and
- * suspected servers, and the routing table. Entries fetch the table from each
- * other so that one that the store refuses stays up to date.
+ * Connects the entries with each other: carries their reports, the routing
+ * table, what relays read from the store, and the layout lease of an entry that
+ * stops. Entries fetch the table from each other so that one that the store
+ * refuses stays up to date.
  */
 import {deflateSync, inflateSync} from 'node:zlib';
 import {
   PeerNode,
   type ConfigVersion,
-  type EntryReport,
   type InstanceId,
   type Lease,
-  type Logger,
   type Message,
   type PeerAddress,
   type PeerLink,
+  type PeerTraffic,
   type PlanVersion,
-  type ServerId,
-  type ServiceId,
+  type StoreReadRequest,
+  type StoreReadResult,
 } from '@azurecrank/core';
-import type {ChainLoads} from '../admission/chain_loads.js';
-import type {PeerQueues, ServiceQueues} from '../admission/peer_queues.js';
-import type {ServerAddress} from '../fleet/backend_server.js';
-import type {FleetView, HeldLayers} from '../fleet/fleet_view.js';
-import type {
-  ServerLimitReport,
-  SharedServerLimits,
-} from '../limits/shared_server_limits.js';
-import type {CrashId, PromptPartKey} from '../quarantine/crash_evidence.js';
-import type {
-  PromptQuarantine,
-  QuarantineReport,
-  SuspectReport,
-} from '../quarantine/prompt_quarantine.js';
-import type {
-  RetryCounts,
-  SharedRetryBudget,
-} from '../retry/shared_retry_budget.js';
-
-export interface EntryMeshOptions {
+import {LocalState, type LocalStateOptions} from './local_state.js';
+import {planRelays, type RegisteredEntry} from './relay_plan.js';
+import {
+  EXCHANGE_TICK_MS,
+  ReportExchange,
+  ReportTransport,
+} from './report_exchange.js';
+
+export interface EntryMeshOptions extends LocalStateOptions {
   readonly node: string;
   readonly instance: InstanceId;
   readonly availabilityZone: string;
-  readonly loads: ChainLoads;
-  readonly retryBudget: SharedRetryBudget;
-  readonly quarantine: PromptQuarantine;
-  readonly limits: SharedServerLimits;
-  readonly fleet: FleetView;
-  readonly logger: Logger;
-  readonly nowMs: () => number;
-  readonly peerQueues: PeerQueues;
-  /** Requests that wait at this entry. */
-  readonly queues: () => readonly ServiceQueues[];
   /** The routing table as it is stored, with its version. */
   readonly storedTable: () => {readonly version: number; readonly text: string};
   readonly updateTable: (text: string) => void;
-  /** Whether a stream through the server had an event since the given time. */
-  readonly hasEventSince: (address: ServerAddress, sinceMs: number) => boolean;
-  /** Called when a peer reports a server as unusable that was usable here. */
-  readonly onServerLost: () => void;
   readonly isStopping: () => boolean;
   readonly onLayoutHandover: (lease: Lease) => void;
-  readonly layoutFence: () => number;
-  readonly onLayoutFence: (fence: number) => void;
+  /** Answers a peer that asks what this entry has read from the store. */
+  readonly readStoreFor?: (
+    request: StoreReadRequest,
+  ) => Promise<StoreReadResult>;
 }
 
-/** Broadcast interval; short compared to how long requests hold tokens. */
-const SHARES_INTERVAL_MS = 200;
-
-/** A peer counts as alive for this time after its last shares message. */
-const PEER_ALIVE_MS = 600;
+/** Time for which urgent reports are collected before they are passed on. */
+const URGENT_DELAY_MS = 15;
 
-/**
- * A suspicion reported by a peer is ignored if a stream through the server had
- * an event within this time. The streams of a live server together have one
- * every few milliseconds.
- */
-const RECENT_EVENT_MS = 120;
+/** A peer counts as alive for this time after its last message. */
+const PEER_ALIVE_MS = 1000;
 
 /** Time after which a table is fetched again, from any peer that has it. */
 const FETCH_TIMEOUT_MS = 500;
@@ -83,56 +53,134 @@
 /** Maximum size of a routing table, which is that of a value in the store. */
 const MAX_TABLE_BYTES = 4 * 1024 * 1024;
 
+/** Interval at which waiting questions to relays are checked. */
+const ASK_CHECK_INTERVAL_MS = 100;
+
+interface PendingQuestion {
+  readonly relay: PeerAddress;
+  readonly resolve: (result: StoreReadResult | undefined) => void;
+}
+
+interface HeardPeer {
+  readonly atMs: number;
+  readonly isStopping: boolean;
+}
+
 export class EntryMesh implements Disposable {
   private readonly peers: PeerNode;
-  private readonly timer: NodeJS.Timeout;
-  private readonly knownPeers = new Set<PeerAddress>();
+  private readonly timers: NodeJS.Timeout[];
+  private readonly exchange: ReportExchange;
+  private entries: readonly RegisteredEntry[] = [];
   /** Peers that were logged as down and have not been heard of since. */
   private readonly unreachable = new Set<PeerAddress>();
-  private readonly lastSharesByPeer = new Map<
-    string,
-    {readonly atMs: number; readonly isStopping: boolean}
-  >();
+  private readonly heardPeers = new Map<PeerLink, HeardPeer>();
+  /** Connections on which entries have reported here. */
+  private readonly memberLinks = new Map<string, PeerLink>();
+  private readonly questions = new Map<number, PendingQuestion>();
+  private lastQuestion = 0;
   private lastFetch = {version: 0, atMs: -Infinity};
+  private deflatedTable = {version: 0, data: new Uint8Array()};
+  private urgentTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryMeshOptions) {
-    const {node, instance, availabilityZone, logger} = options;
+    const {node, instance, availabilityZone} = options;
     this.peers = new PeerNode(
       {node, instance, role: 'entry', availabilityZone},
       {
         versions: () => this.versions(),
         onMessage: (message, link) => this.handleMessage(message, link),
-        onPeerDown: (address, cause) => {
-          if (this.unreachable.has(address)) return;
-          this.unreachable.add(address);
-          logger.info('peer cannot be reached', {peer: address, cause});
-        },
+        onPeerDown: (address, cause) => this.handlePeerDown(address, cause),
       },
     );
-    this.timer = setInterval(() => this.broadcastShares(), SHARES_INTERVAL_MS);
-    this.timer.unref();
+    const localState = new LocalState(options);
+    this.exchange = new ReportExchange({
+      node,
+      instance,
+      transport: new MeshTransport(this.peers, this.memberLinks),
+      ownState: () => localState.collect(),
+      applyState: (state, scope) => localState.apply(state, scope),
+      configVersion: () => this.versions().configVersion,
+      isStopping: options.isStopping,
+    });
+    this.timers = [
+      setInterval(() => this.tick(), EXCHANGE_TICK_MS),
+      setInterval(() => this.checkQuestions(), ASK_CHECK_INTERVAL_MS),
+    ];
+    for (const timer of this.timers) timer.unref();
+  }
+
+  /** Bytes exchanged with other entries since the start. */
+  get traffic(): PeerTraffic {
+    return this.peers.traffic;
+  }
+
+  /** Whether reports go over relays, or each entry reports to all others. */
+  get usesRelays(): boolean {
+    return this.exchange.usesRelays;
+  }
+
+  /** Whether this entry passes on what others report and read. */
+  get isRelay(): boolean {
+    return this.exchange.isRelay;
   }
 
   async listen(host: string, port: number): Promise<PeerAddress> {
-    return this.peers.listen(host, port);
+    const address = await this.peers.listen(host, port);
+    this.applyPlan();
+    return address;
   }
 
   /** Sets the addresses of all known entries; its own address is ignored. */
   setPeers(addresses: Iterable<PeerAddress>): void {
-    this.knownPeers.clear();
-    for (const address of addresses) {
-      if (address !== this.peers.address) this.knownPeers.add(address);
-    }
+    this.setEntries(
+      [...addresses].map(address => ({address, availabilityZone: ''})),
+    );
+  }
+
+  /** Sets all known entries, which may include this one. */
+  setEntries(entries: Iterable<RegisteredEntry>): void {
+    this.entries = [...entries];
+    const known = new Set(this.entries.map(({address}) => address));
     for (const address of this.unreachable) {
-      if (!this.knownPeers.has(address)) this.unreachable.delete(address);
+      if (!known.has(address)) this.unreachable.delete(address);
     }
+    this.applyPlan();
   }
 
-  /** Sends this entry's state to all known entries. */
+  /** Sends this entry's state to the others at once. */
   broadcastShares(): void {
-    const message = this.createShares();
-    for (const address of this.knownPeers)
-      this.peers.link(address).send(message);
+    this.exchange.reportNow(this.options.nowMs());
+  }
+
+  /** Relays that may be asked for what they read from the store. */
+  storeRelays(): PeerAddress[] {
+    return this.exchange.storeRelays(this.options.nowMs());
+  }
+
+  /**
+   * Asks a relay for what it has read from the store.
+   * @returns undefined if the relay does not answer, or the signal aborts
+   */
+  async askStore(
+    relay: PeerAddress,
+    request: Omit<StoreReadRequest, 'type' | 'id'>,
+    signal?: AbortSignal,
+  ): Promise<StoreReadResult | undefined> {
+    if (signal?.aborted) return undefined;
+    const id = ++this.lastQuestion;
+    const isSent = this.peers.send(relay, {type: 'store_read', id, ...request});
+    if (!isSent) return undefined;
+    let abort = () => {};
+    try {
+      return await new Promise(resolve => {
+        abort = () => resolve(undefined);
+        signal?.addEventListener('abort', abort);
+        this.questions.set(id, {relay, resolve});
+      });
+    } finally {
+      signal?.removeEventListener('abort', abort);
+      this.questions.delete(id);
+    }
   }
 
   /**
@@ -142,11 +190,9 @@
   handOverLease({lease, fence, ttlMs}: Lease): string | undefined {
     const now = this.options.nowMs();
     for (const link of this.peers.links()) {
-      const lastShares = this.lastSharesByPeer.get(link.name);
+      const heard = this.heardPeers.get(link);
       const isEligible =
-        lastShares &&
-        !lastShares.isStopping &&
-        now - lastShares.atMs < PEER_ALIVE_MS;
+        heard && !heard.isStopping && now - heard.atMs < PEER_ALIVE_MS;
       if (!isEligible || !link.connection) continue;
       if (link.send({type: 'layout_handover', lease, fence, ttlMs})) {
         return link.name;
@@ -156,59 +202,59 @@
   }
 
   [Symbol.dispose](): void {
-    clearInterval(this.timer);
+    for (const timer of this.timers) clearInterval(timer);
+    clearTimeout(this.urgentTimer);
+    for (const {resolve} of this.questions.values()) resolve(undefined);
     this.peers[Symbol.dispose]();
   }
 
-  private versions() {
-    return {
-      configVersion: this.options.storedTable().version as ConfigVersion,
-      planVersion: 0 as PlanVersion,
-    };
+  private applyPlan(): void {
+    const {address} = this.peers;
+    const {availabilityZone} = this.options;
+    const plan = planRelays({address, availabilityZone}, this.entries);
+    this.exchange.setPlan(plan, address);
   }
 
-  private createShares(): EntryReport {
-    const {loads, retryBudget, fleet, nowMs} = this.options;
-    const queues = this.options.queues();
-    return {
-      type: 'shares',
-      configVersion: this.versions().configVersion,
-      usedTokens: loads.ownUsedTokens(),
-      queues: queues.map(toQueuesTuple),
-      leaving: fleet.leavingServers(),
-      suspected: fleet.ownSuspicions(),
-      refusing: fleet.ownRefusing(),
-      held: fleet.recentObservations(nowMs()).map(toHeldTuple),
-      slow: fleet.ownSlowServers(),
-      retries: retryBudget
-        .report(nowMs())
-        .map(c => [c.service, c.requests, c.retries]),
-      ...this.createRareReports(queues),
-      isStopping: this.options.isStopping(),
-      layoutFence: this.options.layoutFence(),
-    };
+  private tick(): void {
+    this.exchange.tick(this.options.nowMs());
+    for (const link of this.heardPeers.keys()) {
+      if (!link.connection) this.heardPeers.delete(link);
+    }
+    for (const [node, link] of this.memberLinks) {
+      if (!link.connection) this.memberLinks.delete(node);
+    }
   }
 
-  /** Parts of the report that mostly have no content; these are left out. */
-  private createRareReports(
-    queues: readonly ServiceQueues[],
-  ): Partial<EntryReport> {
-    const {quarantine, limits, nowMs} = this.options;
-    const now = nowMs();
-    const {suspects, answered} = quarantine.report(now);
-    const suspectParts = suspects.map(toSuspectTuple);
-    const limitTuples = limits.report(now).map(toLimitTuple);
-    const interrupted = queues.flatMap(toInterruptedTuples);
+  private handlePeerDown(address: PeerAddress, cause: string): void {
+    this.exchange.recordDown(address);
+    for (const {relay, resolve} of this.questions.values()) {
+      if (relay === address) resolve(undefined);
+    }
+    if (this.unreachable.has(address)) return;
+    this.unreachable.add(address);
+    this.options.logger.info('peer cannot be reached', {peer: address, cause});
+  }
+
+  /** Gives up questions to relays that are silent. */
+  private checkQuestions(): void {
+    if (this.questions.size === 0) return;
+    const relays = this.storeRelays();
+    for (const {relay, resolve} of this.questions.values()) {
+      if (!relays.includes(relay)) resolve(undefined);
+    }
+  }
+
+  private versions() {
     return {
-      ...(interrupted.length > 0 && {interrupted}),
-      ...(suspectParts.length > 0 && {suspectParts}),
-      ...(answered.length > 0 && {answeredParts: answered}),
-      ...(limitTuples.length > 0 && {limits: limitTuples}),
+      configVersion: this.options.storedTable().version as ConfigVersion,
+      planVersion: 0 as PlanVersion,
     };
   }
 
   private handleMessage(message: Message, link: PeerLink): void {
     this.unreachable.delete(link.address);
+    const now = this.options.nowMs();
+    const {exchange} = this;
     switch (message.type) {
       case 'ping':
         link.send({type: 'pong', seq: message.seq, ...this.versions()});
@@ -217,8 +263,22 @@
       case 'pong':
         return this.fetchIfNewer(message.configVersion, link);
       case 'shares':
-        this.applyShares(message, link);
-        return this.fetchIfNewer(message.configVersion, link);
+        exchange.handleDirect(link.name, message, now);
+        return this.handleReportFrom(link, message);
+      case 'relay_report':
+        this.memberLinks.set(message.node, link);
+        exchange.handleReport(message, now);
+        return this.handleReportFrom(link, message);
+      case 'relayed_reports':
+        exchange.handleRelayed(message, now);
+        return this.handleReportFrom(link, message);
+      case 'fleet_report':
+        exchange.handleFleetReport(message, now);
+        return this.handleReportFrom(link, message);
+      case 'store_read':
+        return void this.answerStoreRead(message, link);
+      case 'store_read_result':
+        return this.questions.get(message.id)?.resolve(message);
       case 'layout_handover':
         return this.options.onLayoutHandover(message);
       case 'fetch':
@@ -230,64 +290,36 @@
     }
   }
 
-  private applyShares(message: EntryReport, link: PeerLink): void {
-    const {
-      loads,
-      peerQueues,
-      retryBudget,
-      fleet,
-      nowMs,
-      onServerLost,
-      logger,
-      hasEventSince,
-    } = this.options;
-    const now = nowMs();
-    loads.setPeerUsage(link.name, message.usedTokens, now);
-    peerQueues.setQueues(link.name, toServiceQueues(message), now);
-    retryBudget.setPeerCounts(
-      link.name,
-      (message.retries ?? []).map(toRetryCounts),
-      now,
-    );
-    this.options.limits.setPeerReport(
-      link.name,
-      (message.limits ?? []).map(fromLimitTuple),
-      now,
-    );
-    this.options.quarantine.applyPeerReport(toQuarantineReport(message), now);
-    this.lastSharesByPeer.set(link.name, {
-      atMs: now,
-      isStopping: message.isStopping,
-    });
-    for (const [server, startedAtMs] of message.leaving) {
-      if (!fleet.markLeaving(server as ServerId, startedAtMs)) continue;
-      const peer = fleet.get(server as ServerId)?.address;
-      logger.info('server leaves', {peer, server, source: link.name});
-      onServerLost();
-    }
-    for (const tuple of message.held) {
-      // Not forwarded to other peers: only own observations are broadcast.
-      fleet.observeFromPeer(fromHeldTuple(tuple), now);
-    }
-    for (const address of message.refusing) {
-      if (!fleet.markRefusingFromPeer(address, now)) continue;
-      logger.info('server refuses requests', {
-        peer: address,
-        source: link.name,
-      });
-      onServerLost();
-    }
-    for (const [address, slowdownFactor] of message.slow) {
-      fleet.recordSlowdownFromPeer(address, slowdownFactor, now);
-    }
-    this.options.onLayoutFence(message.layoutFence);
-    for (const address of message.suspected) {
-      // The network link between the peer and the server may be at fault.
-      if (hasEventSince(address, now - RECENT_EVENT_MS)) continue;
-      if (!fleet.suspectFromPeer(address, now)) continue;
-      logger.info('server suspected', {peer: address, source: link.name});
-      onServerLost();
-    }
+  private handleReportFrom(
+    link: PeerLink,
+    message: {
+      readonly configVersion: ConfigVersion;
+      readonly isStopping: boolean;
+    },
+  ): void {
+    const now = this.options.nowMs();
+    const {isStopping} = message;
+    this.heardPeers.set(link, {atMs: now, isStopping});
+    this.fetchIfNewer(message.configVersion, link);
+    this.exchange.applyArrived(now);
+    if (this.exchange.hasUrgent) this.flushUrgentSoon();
+  }
+
+  private flushUrgentSoon(): void {
+    if (this.urgentTimer) return;
+    this.urgentTimer = setTimeout(() => {
+      this.urgentTimer = undefined;
+      this.exchange.flushUrgent(this.options.nowMs());
+    }, URGENT_DELAY_MS);
+    this.urgentTimer.unref();
+  }
+
+  private async answerStoreRead(
+    request: StoreReadRequest,
+    link: PeerLink,
+  ): Promise<void> {
+    const {readStoreFor} = this.options;
+    if (readStoreFor) link.send(await readStoreFor(request));
   }
 
   /** Requests the routing table of a peer if its version is newer. */
@@ -304,7 +336,9 @@
   private sendTable(link: PeerLink): void {
     const {version, text} = this.options.storedTable();
     if (version === 0) return;
-    const data = deflateSync(text);
+    if (this.deflatedTable.version !== version)
+      this.deflatedTable = {version, data: deflateSync(text)};
+    const {data} = this.deflatedTable;
     link.send({type: 'document', what: 'config', version, data});
   }
 
@@ -321,131 +355,19 @@
   }
 }
 
-type QueuesTuple = NonNullable<EntryReport['queues']>[number];
-
-function toQueuesTuple({service, ranks}: ServiceQueues): QueuesTuple {
-  return [
-    service,
-    ranks.map(({tokens, oldestAgeMs}) => [tokens, Math.round(oldestAgeMs)]),
-  ];
-}
-
-type InterruptedTuple = NonNullable<EntryReport['interrupted']>[number];
-
-function toInterruptedTuples({
-  service,
-  interrupted,
-}: ServiceQueues): InterruptedTuple[] {
-  if (!interrupted || interrupted.tokens === 0) return [];
-  const {tokens, oldestAgeMs} = interrupted;
-  return [[service, tokens, Math.round(oldestAgeMs)]];
-}
-
-function toServiceQueues({
-  queues = [],
-  interrupted = [],
-}: EntryReport): ServiceQueues[] {
-  const interruptedByService = new Map(
-    interrupted.map(([service, tokens, oldestAgeMs]) => [
-      service,
-      {tokens, oldestAgeMs},
-    ]),
-  );
-  return queues.map(([service, ranks]) => ({
-    service: service as ServiceId,
-    interrupted: interruptedByService.get(service),
-    ranks: ranks.map(([tokens, oldestAgeMs]) => ({tokens, oldestAgeMs})),
-  }));
-}
-
-type SuspectTuple = NonNullable<EntryReport['suspectParts']>[number];
-
-function toSuspectTuple({
-  key,
-  depth,
-  crashes,
-  trialLeftMs,
-}: SuspectReport): SuspectTuple {
-  return [key, depth, crashes, Math.round(trialLeftMs)];
-}
-
-type LimitTuple = NonNullable<EntryReport['limits']>[number];
-
-function toLimitTuple({
-  address,
-  limitPerS = -1,
-  ageMs = -1,
-  sends,
-}: ServerLimitReport): LimitTuple {
-  return [address, limitPerS, ageMs, sends];
-}
-
-function fromLimitTuple(tuple: LimitTuple): ServerLimitReport {
-  const [address, limitPerS, ageMs, sends] = tuple;
-  return {
-    address,
-    limitPerS: limitPerS < 0 ? undefined : limitPerS,
-    ageMs: ageMs < 0 ? undefined : ageMs,
-    sends,
-  };
-}
-
-function toQuarantineReport({
-  suspectParts = [],
-  answeredParts = [],
-}: EntryReport): QuarantineReport {
-  return {
-    suspects: suspectParts.map(([key, depth, crashes, trialLeftMs]) => ({
-      key: key as PromptPartKey,
-      depth,
-      crashes: crashes as ReadonlyArray<readonly [CrashId, number]>,
-      trialLeftMs,
-    })),
-    answered: answeredParts as QuarantineReport['answered'],
-  };
-}
-
-function toRetryCounts([service, requests, retries]: readonly [
-  string,
-  number,
-  number,
-]): RetryCounts {
-  return {service: service as ServiceId, requests, retries};
-}
+class MeshTransport extends ReportTransport {
+  constructor(
+    private readonly peers: PeerNode,
+    private readonly memberLinks: ReadonlyMap<string, PeerLink>,
+  ) {
+    super();
+  }
 
-function toHeldTuple({
-  server,
-  startedAtMs,
-  orderSequence,
-  layers,
-  reloadingLayerTokens = -1,
-}: HeldLayers): EntryReport['held'][number] {
-  const {firstLayer, endLayer} = layers ?? {firstLayer: 0, endLayer: 0};
-  return [
-    server,
-    startedAtMs,
-    orderSequence,
-    firstLayer,
-    endLayer,
-    reloadingLayerTokens,
-  ];
-}
+  override send(address: PeerAddress, message: Message): void {
+    this.peers.send(address, message);
+  }
 
-function fromHeldTuple(tuple: EntryReport['held'][number]): HeldLayers {
-  const [
-    server,
-    startedAtMs,
-    orderSequence,
-    firstLayer,
-    endLayer,
-    layerTokens,
-  ] = tuple;
-  const layers = firstLayer < endLayer ? {firstLayer, endLayer} : undefined;
-  return {
-    server: server as ServerId,
-    startedAtMs,
-    orderSequence,
-    layers,
-    reloadingLayerTokens: layerTokens < 0 ? undefined : layerTokens,
-  };
+  override reply(node: string, message: Message): void {
+    this.memberLinks.get(node)?.send(message);
+  }
 }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -4,6 +4,7 @@
   DisposableStore,
   HealthServer,
   Logger,
+  METRICS,
   Metrics,
   PauseMonitor,
   createInstanceId,
@@ -26,6 +27,10 @@
 import {ForwardingGateway} from '../gateway/forwarding_gateway.js';
 import {EntryDirectory, LAYOUT_LEASE_KEY} from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
+import {
+  MAX_REPORT_DELAY_MS,
+  REPORT_INTERVAL_MS,
+} from '../peers/report_exchange.js';
 import {LayoutRunner} from '../placement/layout_runner.js';
 import {CallLoadBalancer} from '../relay/call_load_balancer.js';
 import {
@@ -69,6 +74,14 @@
 const LAST_ANSWERS_FRACTION = 1 / 2;
 const LAST_ANSWERS_CHECK_INTERVAL_MS = 5;
 
+/** Reports after which others know of what an entry reports over relays. */
+const REPORTS_UNTIL_KNOWN_BY_RELAYS = Math.ceil(
+  MAX_REPORT_DELAY_MS / REPORT_INTERVAL_MS,
+);
+
+/** Factor on the delays of attempts to order layouts of all but relays. */
+const NO_RELAY_ATTEMPT_DELAY_FACTOR = 5;
+
 /** Listen backlog for callers, which reconnect in bursts after an outage. */
 const CALLER_LISTEN_BACKLOG = 1024;
 
@@ -129,6 +142,8 @@
     this.limits = new SharedServerLimits({
       node,
       entryCount: () => this.directory.entryCount,
+      reportDelayMs: () =>
+        this.mesh.usesRelays ? MAX_REPORT_DELAY_MS : REPORT_INTERVAL_MS,
       waitingPeers: (service, nowMs) =>
         this.peerQueues.waitingPeers(service, nowMs),
       onChange: (peer, limitPerS) => {
@@ -150,6 +165,7 @@
       new EntryDirectory({
         keyValue,
         node,
+        availabilityZone,
         logger,
         nowMs,
         onExpiry: () => this.handleEntriesChange(),
@@ -194,6 +210,7 @@
         onLayoutFence: fence => this.layoutRunner?.recordFence(fence),
       }),
     );
+    this.declarePeerTraffic();
     const upstream = this.disposables.add(new HttpUpstream());
     const refusals = new RefusalSender(metrics, logger, 'fractions');
     const onServerLost = () => {
@@ -415,9 +432,24 @@
     });
   }
 
+  private declarePeerTraffic(): void {
+    const {metrics, mesh} = this;
+    const name = 'azurecrank_peer_bytes';
+    const help = METRICS[name].help;
+    metrics.gauge(name, help, () => mesh.traffic.receivedBytes, {
+      direction: 'received',
+    });
+    metrics.gauge(name, help, () => mesh.traffic.sentBytes, {
+      direction: 'sent',
+    });
+  }
+
   private handleEntriesChange(): void {
-    this.mesh.setPeers(this.directory.entries);
+    this.mesh.setEntries(this.directory.registered);
     this.retryBudget.setEntryCount(this.directory.entryCount);
+    this.retryBudget.setReportsUntilKnown(
+      this.mesh.usesRelays ? REPORTS_UNTIL_KNOWN_BY_RELAYS : 1,
+    );
   }
 
   private handleQuarantineChange(change: QuarantineChange): void {
@@ -455,7 +487,6 @@
     this.callBalancer.retainServers(addresses);
     this.limits.retainServers(addresses);
     this.holds.expire(performance.now());
-    this.mesh.broadcastShares();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
       servers: servers.length,
@@ -481,6 +512,8 @@
       leavingServers,
       table: () => this.tableHolder.table,
       isLeaseHeld: () => this.directory.hasLayoutLeaseHolder,
+      attemptDelayFactor: () =>
+        this.mesh.isRelay ? 1 : NO_RELAY_ATTEMPT_DELAY_FACTOR,
       logger,
       metrics,
       nowMs: () => performance.now(),
--- a/packages/forwarding/src/core/retry/shared_retry_budget.ts
+++ b/packages/forwarding/src/core/retry/shared_retry_budget.ts
@@ -37,18 +37,22 @@
 interface ServiceCounters {
   readonly requests: WindowCounter;
   readonly retries: WindowCounter;
-  retriesSinceReport: number;
+  /** Retries that the others do not know of yet, newest interval first. */
+  unknownRetries: number[];
 }
 
 interface PeerReport {
   readonly counts: ReadonlyMap<ServiceId, RetryCounts>;
   readonly atMs: number;
+  /** Number of entries that the counts are of. */
+  readonly entries: number;
 }
 
 export class SharedRetryBudget {
   private readonly own = new Map<ServiceId, ServiceCounters>();
   private readonly peers = new Map<string, PeerReport>();
   private entryCount = 1;
+  private reportsUntilKnown = 1;
 
   constructor(
     private readonly startedAtMs: number,
@@ -60,17 +64,23 @@
     this.entryCount = Math.max(1, count);
   }
 
+  /** Sets after how many reports the others know of a retry. */
+  setReportsUntilKnown(count: number): void {
+    this.reportsUntilKnown = count;
+  }
+
   /** Records a request of a caller, whether it reaches a server or not. */
   recordRequest(service: ServiceId, nowMs: number): void {
     this.countersOf(service).requests.add(nowMs);
   }
 
-  /** Number of retries that this entry may make until its next report. */
+  /** Number of retries that this entry may make until the others know of it. */
   available(service: ServiceId, nowMs: number): number {
-    const {retriesSinceReport} = this.countersOf(service);
+    const {unknownRetries} = this.countersOf(service);
+    const unknown = unknownRetries.reduce((sum, count) => sum + count, 0);
     const reporting = 1 + this.freshPeerCount(nowMs);
-    const left = this.leftInWindow(service, nowMs) + retriesSinceReport;
-    return Math.max(0, Math.floor(left / reporting) - retriesSinceReport);
+    const left = this.leftInWindow(service, nowMs) + unknown;
+    return Math.max(0, Math.floor(left / reporting) - unknown);
   }
 
   /** Uses one retry and returns true, or returns false if there is none. */
@@ -78,14 +88,18 @@
     if (this.available(service, nowMs) < 1) return false;
     const counters = this.countersOf(service);
     counters.retries.add(nowMs);
-    counters.retriesSinceReport++;
+    counters.unknownRetries[0]++;
     return true;
   }
 
-  /** Returns the counts for the peers, which will know them from now on. */
+  /** Returns the counts for the peers, which will know them soon. */
   report(nowMs: number): RetryCounts[] {
     return [...this.own].map(([service, counters]) => {
-      counters.retriesSinceReport = 0;
+      const {unknownRetries} = counters;
+      counters.unknownRetries = [0, ...unknownRetries].slice(
+        0,
+        this.reportsUntilKnown,
+      );
       return {
         service,
         requests: counters.requests.total(nowMs),
@@ -94,14 +108,18 @@
     });
   }
 
-  /** Replaces the counts reported by a peer. */
+  /**
+   * Replaces the counts reported by a peer.
+   * @param entries number of entries that the counts are of
+   */
   setPeerCounts(
     node: string,
     counts: readonly RetryCounts[],
     nowMs: number,
+    entries = 1,
   ): void {
     const byService = new Map(counts.map(c => [c.service, c]));
-    this.peers.set(node, {counts: byService, atMs: nowMs});
+    this.peers.set(node, {counts: byService, atMs: nowMs, entries});
   }
 
   /** Retries of all entries that the limits still allow in this window. */
@@ -133,8 +151,8 @@
 
   private freshPeerCount(nowMs: number): number {
     let count = 0;
-    for (const {atMs} of this.peers.values()) {
-      if (nowMs - atMs <= MAX_REPORT_AGE_MS) count++;
+    for (const {atMs, entries} of this.peers.values()) {
+      if (nowMs - atMs <= MAX_REPORT_AGE_MS) count += entries;
     }
     return count;
   }
@@ -146,7 +164,7 @@
       counters = {
         requests: new WindowCounter(windowMs),
         retries: new WindowCounter(windowMs),
-        retriesSinceReport: 0,
+        unknownRetries: [0],
       };
       this.own.set(service, counters);
     }
