Read the store by way of relays

Change: relays watch the store, the other entries ask their two relays, and go on at the store itself from the same revision if these are silent or cannot reach it. Relays renew their registration each second, which is the cheapest call that shows whether the store can be reached; while it cannot, they say so.

--- a/packages/core/src/core/telemetry/metric_catalog.ts
+++ b/packages/core/src/core/telemetry/metric_catalog.ts
@@ -126,6 +126,13 @@
     help: 'Reads of the host list without an answer',
     owners: ENTRY,
   },
+  azurecrank_store_reads_total: {
+    kind: 'counter',
+    help: 'Readings and watches of the store, by what has answered them',
+    owners: ENTRY,
+    label: 'source',
+    values: ['store', 'relay', 'failed'],
+  },
   azurecrank_peer_bytes: {
     kind: 'gauge',
     help: 'Bytes exchanged with other entries since the start, by direction',
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -27,6 +27,7 @@
 import {ForwardingGateway} from '../gateway/forwarding_gateway.js';
 import {EntryDirectory, LAYOUT_LEASE_KEY} from '../peers/entry_directory.js';
 import {EntryMesh} from '../peers/entry_mesh.js';
+import {RelayedPrefixStore} from '../peers/relayed_prefix_store.js';
 import {
   MAX_REPORT_DELAY_MS,
   REPORT_INTERVAL_MS,
@@ -112,6 +113,7 @@
   private readonly tableHolder: TableHolder;
   private readonly directory: EntryDirectory;
   private readonly mesh: EntryMesh;
+  private readonly prefixes: RelayedPrefixStore;
   private readonly retryBudget: SharedRetryBudget;
   private readonly quarantine = new PromptQuarantine(change =>
     this.handleQuarantineChange(change),
@@ -168,6 +170,8 @@
         availabilityZone,
         logger,
         nowMs,
+        isRelay: () => this.mesh.usesRelays && this.mesh.isRelay,
+        onRenewal: isReachable => this.prefixes.setStoreReachable(isReachable),
         onExpiry: () => this.handleEntriesChange(),
       }),
     );
@@ -208,8 +212,18 @@
         onLayoutHandover: lease => this.layoutRunner?.adoptLease(lease),
         layoutFence: () => this.layoutRunner?.fence ?? 0,
         onLayoutFence: fence => this.layoutRunner?.recordFence(fence),
+        readStoreFor: request => this.prefixes.answer(request),
       }),
     );
+    this.prefixes = new RelayedPrefixStore({
+      store: adapter.prefixes,
+      nowMs,
+      relays: () => this.mesh.storeRelays(),
+      ask: (relay, question, signal) =>
+        this.mesh.askStore(relay, question, signal),
+      onRead: source =>
+        metrics.increment('azurecrank_store_reads_total', {source}),
+    });
     this.declarePeerTraffic();
     const upstream = this.disposables.add(new HttpUpstream());
     const refusals = new RefusalSender(metrics, logger, 'fractions');
@@ -274,7 +288,7 @@
     );
     this.storeWatchers = this.disposables.add(
       new StoreWatchers({
-        adapter,
+        adapter: {...adapter, prefixes: this.prefixes},
         fleet,
         tableHolder: this.tableHolder,
         logger,
