Look at queues and streams only while there is something to see

Change: a path that was found sound is looked at again when the fleet changes; the check runs while there are streams; queues in which nothing waits are looked at each 100 ms.

--- a/packages/forwarding/src/core/admission/model_admission.ts
+++ b/packages/forwarding/src/core/admission/model_admission.ts
@@ -142,6 +142,15 @@
     return isAnyClosed ? 'chain_closed' : 'no_free_tokens';
   }
 
+  /** Whether requests wait, or have until a short time ago. */
+  get hasWaiting(): boolean {
+    return (
+      this.queue.size > 0 ||
+      this.interrupted.size > 0 ||
+      this.rateMeter.isMeasuring
+    );
+  }
+
   /** Number of queued requests. */
   get size(): number {
     return this.queue.size;
@@ -252,11 +261,7 @@
   processQueue(): void {
     const now = this.options.nowMs();
     this.places.current();
-    const isIdle =
-      this.queue.size === 0 &&
-      this.interrupted.size === 0 &&
-      !this.rateMeter.isMeasuring;
-    if (isIdle) return;
+    if (!this.hasWaiting) return;
     const heldForMs = this.places.heldForMs(now);
     for (const item of this.queue.expire(now + heldForMs)) {
       this.refuse(item, this.refusalReason(now));
--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -72,15 +72,11 @@
     CallerExchange,
     CallRelay | StreamRelay | undefined
   >();
-  private readonly timer: NodeJS.Timeout;
+  /** Runs while there are streams. */
+  private timer: NodeJS.Timeout | undefined;
   private lastCheckMs = 0;
 
-  constructor(private readonly options: GatewayOptions) {
-    this.timer = setInterval(
-      () => this.checkStreams(),
-      STREAM_CHECK_INTERVAL_MS,
-    );
-  }
+  constructor(private readonly options: GatewayOptions) {}
 
   get inFlight(): number {
     return this.open.size;
@@ -273,6 +269,10 @@
       onFinished: finished => this.streams.delete(finished),
     });
     this.streams.add(relay);
+    this.timer ??= setInterval(
+      () => this.checkStreams(),
+      STREAM_CHECK_INTERVAL_MS,
+    );
     this.open.set(exchange, relay);
     relay.enqueue();
   }
@@ -294,6 +294,11 @@
   }
 
   private checkStreams(): void {
+    if (this.streams.size === 0) {
+      clearInterval(this.timer);
+      this.timer = undefined;
+      return;
+    }
     const nowMs = this.options.nowMs();
     const wasLate = nowMs - this.lastCheckMs > LATE_CHECK_THRESHOLD_MS;
     this.lastCheckMs = nowMs;
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -56,6 +56,9 @@
 /** Interval at which queued requests are admitted or refused. */
 const QUEUE_INTERVAL_MS = 25;
 
+/** Intervals after which queues are looked at in which nothing waits. */
+const IDLE_QUEUE_INTERVALS = 4;
+
 /** TTL of the layout lease, whose holder gives orders to servers. */
 const LAYOUT_LEASE_TTL_MS = 3500;
 
@@ -120,6 +123,7 @@
   );
   private readonly quarantineStore: QuarantineStore;
   private isBroadcastPending = false;
+  private queueIntervals = 0;
   private readonly gateway: ForwardingGateway;
   private readonly pauses = new PauseMonitor();
   private callerServer: Server | undefined;
@@ -579,6 +583,9 @@
 
   /** Expires stale fleet state and processes the queues of all models. */
   private processQueues(): void {
+    const hasWaiting = [...this.admissions.values()].some(a => a.hasWaiting);
+    this.queueIntervals++;
+    if (!hasWaiting && this.queueIntervals % IDLE_QUEUE_INTERVALS > 0) return;
     const {isConnected} = this.storeWatchers;
     this.fleet.expire(performance.now(), isConnected);
     for (const [service, admission] of this.admissions) {
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -132,6 +132,8 @@
   private isRepathing = false;
   /** Time from which suspected servers of the path are replaced. */
   private replaceFromMs = 0;
+  /** Revision of the fleet at which the path was found to be sound. */
+  private soundAtRevision = -1;
   /** Time from which the stream leaves draining, refusing and slow servers. */
   private migrateFromMs = 0;
   private isFinished = false;
@@ -257,22 +259,7 @@
     if (this.path.length === 0 || this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
-    if (this.replacements.suspectedServers(this.path).length > 0) {
-      if (nowMs < this.replaceFromMs) return;
-      this.replaceSuspectedServers().catch(error => this.failInternally(error));
-      return;
-    }
-    if (
-      nowMs >= this.migrateFromMs &&
-      this.options.holds.maySend(this.path[0].server, nowMs) &&
-      this.replacements.impairedServers(this.path).length > 0
-    ) {
-      // Once per attempt, at a time that differs between streams.
-      this.migrateFromMs = Infinity;
-      this.migrateFromImpairedServers().catch(error =>
-        this.failInternally(error),
-      );
-    }
+    if (!this.isPathSound() && this.leaveUnsoundPath(nowMs)) return;
     const {failureDetector} = this.options;
     const first = this.path[0].server.address;
     // If all streams of the server have stalled, the path is overloaded, and
@@ -294,6 +281,39 @@
     if (silentMs >= thresholdMs) failureDetector.queryServer(first);
   }
 
+  /** Whether nothing has changed since the path was found to be sound. */
+  private isPathSound(): boolean {
+    return this.soundAtRevision === this.options.fleet.revision;
+  }
+
+  /**
+   * Leaves suspected servers of the path, or others that it should not use.
+   * @returns whether the path has suspected servers
+   */
+  private leaveUnsoundPath(nowMs: number): boolean {
+    const {fleet, holds} = this.options;
+    if (this.replacements.suspectedServers(this.path).length > 0) {
+      if (nowMs < this.replaceFromMs) return true;
+      this.replaceSuspectedServers().catch(error => this.failInternally(error));
+      return true;
+    }
+    const mayMigrate = nowMs >= this.migrateFromMs;
+    const hasMigrated = this.migrateFromMs === Infinity;
+    const isImpaired =
+      mayMigrate && this.replacements.impairedServers(this.path).length > 0;
+    if (!isImpaired) {
+      if (mayMigrate || hasMigrated) this.soundAtRevision = fleet.revision;
+      return false;
+    }
+    if (!holds.maySend(this.path[0].server, nowMs)) return false;
+    // Once per attempt, at a time that differs between streams.
+    this.migrateFromMs = Infinity;
+    this.migrateFromImpairedServers().catch(error =>
+      this.failInternally(error),
+    );
+    return false;
+  }
+
   private send(path: ServerPath): void {
     const {options, exchange, accepted} = this;
     if (!this.promptGuard.tryStartRun()) return this.endQuarantined();
@@ -304,6 +324,7 @@
     this.hasEventOnPath = false;
     this.replaceFromMs = now;
     this.migrateFromMs = now + MIGRATION_SPREAD_MS * Math.random();
+    this.soundAtRevision = -1;
     if (!this.isHeadSent) this.lastEventAtMs = now;
     this.continuation.recordAttempt();
     const {lastEventId} = this.splitter;
@@ -713,6 +734,7 @@
     if (outcome.kind === 'accepted') {
       this.repaths++;
       this.path = path;
+      this.soundAtRevision = -1;
       this.pathSetAtMs = nowMs();
       this.hasEventOnPath = false;
     }
