Send reports to entries only as often as they use them

Cause: a relay sent its report on the fleet five times a second to the entries that go by the other relay, too, and a member's timer ran twice for each of its reports.

--- a/packages/forwarding/src/core/peers/report_exchange.ts
+++ b/packages/forwarding/src/core/peers/report_exchange.ts
@@ -64,6 +64,9 @@
 /** Interval of reports to the relay that the entry does not go by. */
 const SECONDARY_REPORT_INTERVAL_MS = 1000;
 
+/** Relays up to which each one passes reports on with each tick. */
+const MAX_FAST_RELAYS = 10;
+
 /** Time for which a relay that has reported gets the reports of this one. */
 const ACTIVE_RELAY_MS = 2000;
 
@@ -89,6 +92,8 @@
 const TIMER_TOLERANCE_MS = 5;
 
 interface Member {
+  /** Whether the entry goes by what this one sends it. */
+  isPrimary: boolean;
   reportedAtMs: number;
   sentAtMs: number;
   sentRevision: number;
@@ -114,6 +119,8 @@
   /** Numbers the reports that have none. */
   private directSeq = 0;
   private lastBody: Uint8Array = new Uint8Array();
+  private tickedAtMs = -Infinity;
+  private passedOnAtMs = -Infinity;
   private ownReportAtMs = -Infinity;
   private directReportAtMs = -Infinity;
   private secondaryReportAtMs = -Infinity;
@@ -168,13 +175,21 @@
 
   /** Sends what is due; to be called each `EXCHANGE_TICK_MS`. */
   tick(nowMs: number): void {
+    const {tickedAtMs} = this;
+    // Others wait for what a relay passes on, but nobody for a single report.
+    const isSkipped =
+      !this.plan.isRelay &&
+      this.members.size === 0 &&
+      !isDue(tickedAtMs, REPORT_INTERVAL_MS, nowMs);
+    if (isSkipped) return;
+    this.tickedAtMs = nowMs;
     this.board.expire(nowMs);
     this.expireMembers(nowMs);
     this.makeReport(nowMs, this.mustRepeatReport(nowMs));
     if (isDue(this.directReportAtMs, REPORT_INTERVAL_MS, nowMs))
       this.sendDirect(nowMs);
     if (!this.plan.isRelay) this.reportToRelays(nowMs, false);
-    if (this.actsAsRelay(nowMs)) this.passOn(nowMs, false);
+    if (this.isPassOnDue(nowMs)) this.passOn(nowMs, false);
     this.applyBoard(nowMs);
   }
 
@@ -200,13 +215,13 @@
   handleReport(message: RelayReport, nowMs: number): void {
     const {node, isPrimary} = message;
     const member = this.members.get(node);
-    if (member) member.reportedAtMs = nowMs;
-    else
-      this.members.set(node, {
-        reportedAtMs: nowMs,
-        sentAtMs: -Infinity,
-        sentRevision: -1,
-      });
+    this.members.set(node, {
+      sentAtMs: -Infinity,
+      sentRevision: -1,
+      ...member,
+      isPrimary,
+      reportedAtMs: nowMs,
+    });
     const report = {...message, ageMs: 0};
     const isNews = this.board.record(report, nowMs, {isPrimary});
     if (isNews && message.isUrgent) this.hasUrgentReports = true;
@@ -338,8 +353,16 @@
     );
   }
 
+  /** The messages between relays grow with the square of their number. */
+  private isPassOnDue(nowMs: number): boolean {
+    const isFast = this.plan.relays.length < MAX_FAST_RELAYS;
+    const intervalMs = isFast ? EXCHANGE_TICK_MS : REPORT_INTERVAL_MS;
+    return isDue(this.passedOnAtMs, intervalMs, nowMs);
+  }
+
   private passOn(nowMs: number, isUrgent: boolean): void {
     if (!this.actsAsRelay(nowMs)) return;
+    this.passedOnAtMs = nowMs;
     const targets = this.relayTargets(nowMs);
     // A relay that is new to this one lacks what was passed on before.
     const known = targets.filter(relay => this.informedRelays.has(relay));
@@ -377,14 +400,9 @@
 
   private answerMembers(nowMs: number, isUrgent: boolean): void {
     const {board, members} = this;
-    const due = [...members].filter(([, member]) => {
-      const {sentAtMs, sentRevision, reportedAtMs} = member;
-      const isNew = sentRevision !== board.revision || reportedAtMs > sentAtMs;
-      const intervalMs = isNew
-        ? REPORT_INTERVAL_MS
-        : UNCHANGED_REPORT_INTERVAL_MS;
-      return isUrgent || isDue(sentAtMs, intervalMs, nowMs);
-    });
+    const due = [...members].filter(
+      ([, member]) => isUrgent || isAnswerDue(member, board.revision, nowMs),
+    );
     if (due.length === 0) return;
     const nodes = due.map(([node]) => node);
     const rest = {state: board.merge(new Set(nodes), nowMs), heardAtMs: nowMs};
@@ -475,6 +493,19 @@
   }
 }
 
+/** An entry that goes by another relay only wants to know that this one runs. */
+function isAnswerDue(
+  {isPrimary, sentAtMs, sentRevision, reportedAtMs}: Member,
+  revision: number,
+  nowMs: number,
+): boolean {
+  const isUnanswered = reportedAtMs > sentAtMs;
+  if (!isPrimary) return isUnanswered;
+  const isNew = isUnanswered || sentRevision !== revision;
+  const intervalMs = isNew ? REPORT_INTERVAL_MS : UNCHANGED_REPORT_INTERVAL_MS;
+  return isDue(sentAtMs, intervalMs, nowMs);
+}
+
 function isDue(lastMs: number, intervalMs: number, nowMs: number): boolean {
   return nowMs - lastMs >= intervalMs - TIMER_TOLERANCE_MS;
 }
