Forget servers that have left some time after their registration

Change: entries report a mark until 30 s after the end of the registration and drop it after 60 s, when no peer reports it any more. Test red before.

--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -46,6 +46,15 @@
  */
 const MIN_VERY_SLOW_FACTOR = 3;
 
+/**
+ * Servers that have left are reported to peers for this time after the end of
+ * their registration. Peers learn of the end at most some seconds apart.
+ */
+const LEFT_REPORT_MS = 30_000;
+
+/** Marks are dropped when no peer reports them any more. */
+const LEFT_RETENTION_MS = 60_000;
+
 /** Layers that a server has reported to hold. */
 export interface HeldLayers {
   readonly server: ServerId;
@@ -83,6 +92,8 @@
     ServerId,
     ReadonlySet<number>
   >();
+  /** Marked servers without a registration, and since when. */
+  private readonly leftSinceMs = new Map<ServerId, number>();
   private readonly observations = new Map<ServerId, Observation>();
   /** Last observation of each server that a registration has replaced. */
   private readonly supersededObservations = new Map<ServerId, Observation>();
@@ -91,6 +102,7 @@
     LayerRange | undefined
   >();
   private changeCount = 0;
+  private expiredAtMs = 0;
 
   /** Rises with each change, so that callers can cache what they derive. */
   get revision(): number {
@@ -186,6 +198,7 @@
     }
     for (const server of this.registrations.takeLeftOver(nowMs))
       this.put(server, nowMs);
+    this.expireLeft(nowMs);
     const hasExpired = [this.suspicions, this.refusals].map(e =>
       e.expire(nowMs),
     );
@@ -193,6 +206,28 @@
     if (hasExpired.includes(true)) this.changeCount++;
   }
 
+  /** Drops the marks of servers that have left long ago. */
+  private expireLeft(nowMs: number): void {
+    for (const server of this.leavingIncarnations.keys()) {
+      if (this.servers.has(server)) {
+        this.leftSinceMs.delete(server);
+        continue;
+      }
+      const sinceMs = this.leftSinceMs.get(server) ?? nowMs;
+      this.leftSinceMs.set(server, sinceMs);
+      if (nowMs - sinceMs < LEFT_RETENTION_MS) continue;
+      this.leavingIncarnations.delete(server);
+      this.leftSinceMs.delete(server);
+    }
+    this.expiredAtMs = nowMs;
+  }
+
+  /** Whether peers may still lack the mark of a leaving server. */
+  private isLeavingReported(server: ServerId): boolean {
+    const sinceMs = this.leftSinceMs.get(server) ?? this.expiredAtMs;
+    return this.expiredAtMs - sinceMs < LEFT_REPORT_MS;
+  }
+
   /**
    * Records the slowdown factor that a server reports; returns whether the
    * factor in force has changed.
@@ -380,10 +415,11 @@
 
   /** Leaving servers with the start time of the incarnation, for peers. */
   leavingServers(): Array<[ServerId, number]> {
-    const marked = [...this.leavingIncarnations].flatMap(
-      ([server, startTimes]) =>
+    const marked = [...this.leavingIncarnations]
+      .filter(([server]) => this.isLeavingReported(server))
+      .flatMap(([server, startTimes]) =>
         [...startTimes].map((atMs): [ServerId, number] => [server, atMs]),
-    );
+      );
     const draining = [...this.servers.values()]
       .filter(server => server.state === 'draining' && !this.isMarked(server))
       .map(({server, startedAtMs}): [ServerId, number] => [
--- a/packages/forwarding/test/fleet_view_test.ts
+++ b/packages/forwarding/test/fleet_view_test.ts
@@ -219,4 +219,30 @@
       [empty.server, first],
     ]);
   });
+
+  // Guards against reports and memory that grow with each server that has ever
+  // left.
+  it('forgets leaving servers some time after their registration', () => {
+    const fleet = new FleetView();
+    fleet.put(registered, 0);
+    fleet.markLeaving(empty.server, empty.startedAtMs);
+    const afterMs = (nowMs: number) => {
+      fleet.expire(nowMs);
+      return fleet.leavingServers().length;
+    };
+    expect(afterMs(100_000)).toEqual(1);
+    fleet.remove(empty.server);
+    expect(afterMs(100_025)).toEqual(1);
+    expect(afterMs(129_000)).toEqual(1);
+    expect(afterMs(131_000)).toEqual(0);
+    // A peer that still reports it changes nothing until all have stopped.
+    expect(fleet.markLeaving(empty.server, empty.startedAtMs)).toEqual(false);
+    fleet.put(registered, 140_000);
+    expect(fleet.usable(SERVICE)).toEqual([]);
+    fleet.remove(empty.server);
+    afterMs(141_000);
+    afterMs(202_000);
+    fleet.put(registered, 203_000);
+    expect(fleet.usable(SERVICE).length).toEqual(1);
+  });
 });
