Do not take comments of a server for events of its stream

Cause: a comment counted as an event, so a stalled server that sent one now and then was never left, and its streams lasted until their deadline. Shown by stream_silence_test, 'leaves the server although comments come from it'. Change: comments are passed on, but only events advance a stream.

--- a/packages/forwarding/src/core/relay/event_splitter.ts
+++ b/packages/forwarding/src/core/relay/event_splitter.ts
@@ -12,6 +12,7 @@
 export interface SplitEvents {
   /** Complete events, byte for byte as received; may be empty. */
   readonly bytes: Buffer;
+  /** Number of events, without comments, which do not advance the stream. */
   readonly eventCount: number;
   /** Whether bytes follow that are no event of the stream, as of an error. */
   readonly isInvalid: boolean;
@@ -77,7 +78,7 @@
       if (id < 0 || id > this.lastId) {
         if (id >= 0) this.lastId = id;
         newEvents.push(bytes.subarray(start, end));
-        eventCount++;
+        if (id >= 0 || !isComment(bytes, start, end)) eventCount++;
       }
       start = end;
     }
@@ -100,6 +101,12 @@
   }
 }
 
+/** Whether all lines are comments. */
+function isComment(bytes: Buffer, start: number, end: number): boolean {
+  const lines = bytes.toString('latin1', start, end).split(/\r?\n/);
+  return lines.every(line => line === '' || COMMENT_LINE.test(line));
+}
+
 function joinEvents(events: readonly Buffer[]): Buffer {
   if (events.length === 0) return NO_BYTES;
   return events.length === 1 ? events[0] : Buffer.concat(events);
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -43,7 +43,7 @@
   type InvalidResponse,
 } from './check_response.js';
 import type {StreamDecision} from './decide_stream.js';
-import {EventSplitter, type SplitEvents} from './event_splitter.js';
+import {EventSplitter} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 import {PromptGuard} from './prompt_guard.js';
 import {StreamContinuation} from './stream_continuation.js';
@@ -418,12 +418,13 @@
   /** Forwards complete events, up to the first bytes that are none. */
   private forwardData(chunk: Buffer): void {
     const events = this.splitter.push(chunk);
-    if (events.eventCount > 0) this.forwardEvents(events);
+    if (events.eventCount > 0) this.recordEvents(events.eventCount);
+    if (events.bytes.length > 0) this.forwardEvents(events.bytes);
     if (events.isInvalid) this.discardResponse('not_an_event');
   }
 
-  /** Forwards complete events and records when they arrived. */
-  private forwardEvents({bytes, eventCount}: SplitEvents): void {
+  /** Records when events of the stream arrived. */
+  private recordEvents(eventCount: number): void {
     const now = this.options.nowMs();
     if (this.firstEventAtMs === undefined) {
       this.firstEventAtMs = now;
@@ -448,6 +449,9 @@
     this.hasEventOnPath = true;
     this.promptGuard.recordEvents();
     this.options.failureDetector.recordEvent(this.path[0].server.address, now);
+  }
+
+  private forwardEvents(bytes: Buffer): void {
     const {res} = this.exchange;
     if (res.write(bytes)) return;
     // Backpressure: pause the server while the caller reads slowly.
--- a/packages/forwarding/test/stream_silence_test.ts
+++ b/packages/forwarding/test/stream_silence_test.ts
@@ -132,6 +132,19 @@
     expect(harness.sentFor('r1').length).toEqual(2);
   });
 
+  // Guards against a stalled server that sends a byte now and then, which looked
+  // as if it had events.
+  it('leaves the server although comments come from it', async () => {
+    const chain = new SharedChain();
+    const {harness, sent} = chain;
+    for (let i = 0; i < 15; i++) {
+      sent[0].handlers.onData(Buffer.from(':\n\n'));
+      await chain.advance(100, sent.slice(1));
+    }
+    expect(sent.map(({isAborted}) => isAborted)).toEqual([true, false, false]);
+    expect(harness.sentFor('r1').length).toEqual(2);
+  });
+
   // Guards against giving up a path when no other can be had (incident LOST).
   it('stays until another chain can take it', async () => {
     const chain = new SharedChain();
