Check the server behind a call's answer without a length

Cause: a plain call's answer that ends with its connection was taken as whole, also if the server's process had ended with it: an answer that broke off halfway reached the caller as a success. Streams were checked already. Change: a success without a length counts only if its server is found to go on; else its outcome is unknown. Test red before. Report of operators of similar systems: answers that broke off halfway.

--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -273,7 +273,12 @@
         wire: adapter.wire,
         currentView: () => this.tableHolder.view,
         admissionOf: service => this.admissionOf(service),
-        calls: {...common, availabilityZone, balancer: this.callBalancer},
+        calls: {
+          ...common,
+          availabilityZone,
+          balancer: this.callBalancer,
+          hasEnded: server => failureDetector.hasEnded(server),
+        },
         streams: {
           ...common,
           control: adapter.control,
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -33,12 +33,15 @@
   type CallDecision,
   type CallState,
 } from './decide_call.js';
+import {hasKnownLength} from './stream_response.js';
 import type {Exchange, Upstream} from './upstream.js';
 
 export interface CallRelayOptions extends CallServersOptions {
   readonly upstream: Upstream;
   readonly wire: WireCodec;
   readonly leavingServers: LeavingServers;
+  /** Whether this incarnation of a server has ended. */
+  readonly hasEnded: (server: BackendServer) => Promise<boolean>;
   readonly budget: SharedRetryBudget;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
@@ -214,7 +217,12 @@
         if (sizeBytes > MAX_RESPONSE_BYTES) this.discardResponse('too_large');
         else chunks.push(chunk);
       },
-      onEnd: () => this.handleResponse(status, head, Buffer.concat(chunks)),
+      onEnd: () => {
+        const response = {status, headers: head, body: Buffer.concat(chunks)};
+        const mayBeCut = isSuccess(status) && !hasKnownLength(head);
+        if (!mayBeCut) this.handleResponse(response);
+        else this.handleResponseOfUnknownLength(server, response);
+      },
       onFailure: ({cause, mayHaveRun}) => {
         this.failAttempt(mayHaveRun ? 'broken' : 'not_sent', cause);
       },
@@ -229,11 +237,27 @@
     this.failAttempt('broken', INVALID_RESPONSE_CAUSES[reason]);
   }
 
-  private handleResponse(
-    status: number,
-    headers: string[],
-    body: Buffer,
+  /**
+   * Handles a response that ended with its connection. The end of a process
+   * closes its connections as well, so the server must be found to go on.
+   */
+  private handleResponseOfUnknownLength(
+    server: BackendServer,
+    response: BufferedResponse,
   ): void {
+    const {upstream} = this;
+    this.options
+      .hasEnded(server)
+      .then(hasEnded => {
+        if (this.isFinished || this.upstream !== upstream) return;
+        if (hasEnded)
+          this.failAttempt('broken', 'server ended with its response');
+        else this.handleResponse(response);
+      })
+      .catch(error => this.failAttempt('broken', String(error)));
+  }
+
+  private handleResponse({status, headers, body}: BufferedResponse): void {
     const metadata = this.options.wire.parseResponse(status, headers);
     if (metadata.notRun) return this.failAttempt('not_run', `status ${status}`);
     const mayRepeat = this.accepted.route.kind === 'idempotent';
@@ -461,3 +485,7 @@
     });
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/forwarding/src/core/relay/stream_response.ts
+++ b/packages/forwarding/src/core/relay/stream_response.ts
@@ -80,7 +80,7 @@
 }
 
 /** Whether the headers say where the body ends. */
-function hasKnownLength(headers: readonly string[]): boolean {
+export function hasKnownLength(headers: readonly string[]): boolean {
   return headers.some(
     (name, i) => i % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()),
   );
--- a/packages/forwarding/test/call_harness.ts
+++ b/packages/forwarding/test/call_harness.ts
@@ -40,6 +40,8 @@
 
 export class CallHarness {
   readonly metrics = new Metrics();
+  /** Whether the servers are found to have ended after their response. */
+  hasServerEnded = false;
   private readonly fleet = new FleetView();
   private readonly balancer = new CallLoadBalancer();
   private readonly logger = new Logger('test', 'silent');
@@ -98,6 +100,7 @@
         onServerLost: () => {},
       }),
       holds: new ServerHolds(() => {}),
+      hasEnded: async () => this.hasServerEnded,
       upstream,
       wire,
       fleet,
--- a/packages/forwarding/test/call_holds_test.ts
+++ b/packages/forwarding/test/call_holds_test.ts
@@ -54,6 +54,7 @@
       upstream: this.upstream,
       wire: new FakeWire(),
       fleet: this.fleet,
+      hasEnded: async () => false,
       leavingServers: new LeavingServers({
         fleet: this.fleet,
         logger,
--- a/packages/forwarding/test/leaving_servers_test.ts
+++ b/packages/forwarding/test/leaving_servers_test.ts
@@ -46,6 +46,7 @@
     wire: new FakeWire(),
     fleet,
     leavingServers,
+    hasEnded: async () => false,
     balancer: new CallLoadBalancer(),
     budget,
     limits,
--- a/packages/forwarding/test/truncated_responses_test.ts
+++ b/packages/forwarding/test/truncated_responses_test.ts
@@ -74,6 +74,28 @@
     server[Symbol.dispose]();
   });
 
+  describe('without a length', () => {
+    const bytes = 'HTTP/1.1 200 OK\r\nrequest-id: r2\r\n\r\nhalf';
+
+    it('are whole if their server goes on', async () => {
+      const harness = new CallHarness([server], upstream, new HeaderWire());
+      server.onRequest = socket => void socket.end(bytes);
+      const res = await harness.call('non_idempotent', 'r2');
+      expect([res.statusCode, res.body]).toEqual([200, 'half']);
+    });
+
+    // Guards against an answer that breaks off with its server and reaches the
+    // caller as a success.
+    it('are no answer to a call if their server has ended', async () => {
+      const harness = new CallHarness([server], upstream, new HeaderWire());
+      harness.hasServerEnded = true;
+      server.onRequest = socket => void socket.end(bytes);
+      const res = await harness.call('non_idempotent', 'r2');
+      expect(res.statusCode).toEqual(502);
+      expect(server.requests.length).toEqual(1);
+    });
+  });
+
   for (const [ending, end] of Object.entries(ENDINGS)) {
     describe(ending, () => {
       for (const [where, bytes] of Object.entries(TRUNCATED)) {
