--- a/packages/bench/src/benches/peers.ts
+++ b/packages/bench/src/benches/peers.ts
@@ -7,6 +7,7 @@
 import {fork, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {join} from 'node:path';
+import {DisposableStore} from '@azurecrank/core';
 import type {RegisteredEntry} from '@azurecrank/forwarding';
 import type {Bench, BenchOptions} from '../framework/bench.js';
 import type {
@@ -26,7 +27,7 @@
 const MEASURE_MS = 5000;
 
 /** Attempts to start an entry that the plan makes a relay, or not. */
-const MAX_STARTS = 60;
+const MAX_STARTS = 30;
 
 const PROCESS_FILE = join(import.meta.dirname, '..', 'peers/peer_process.js');
 
@@ -77,20 +78,21 @@
   }
 }
 
-/** Starts an entry until the plan gives it the wanted role. */
+/** Starts entries until the plan gives one the wanted role. */
 async function startMeasured(
   kind: ExchangeKind,
   others: readonly RegisteredEntry[],
   wantsRelay: boolean,
 ): Promise<{process: PeerProcess; registered: readonly RegisteredEntry[]}> {
+  // They end together, so that each one gets another port.
+  using rejected = new DisposableStore();
   for (let i = 0; i < MAX_STARTS; i++) {
     const process = new PeerProcess();
     const registered = await process.start(kind, ['a']);
     await process.ask({type: 'entries', entries: [...others, ...registered]});
-    const {relays} = await process.usage();
-    if (kind === 'full' || relays > 0 === wantsRelay)
-      return {process, registered};
-    process[Symbol.dispose]();
+    const isRelay = (await process.usage()).relays > 0;
+    if (kind === 'full' || isRelay === wantsRelay) return {process, registered};
+    rejected.add(process);
   }
   throw new Error('no entry got the wanted role');
 }
