--- a/packages/forwarding/src/core/peers/relay_choice.ts
+++ b/packages/forwarding/src/core/peers/relay_choice.ts
@@ -35,6 +35,8 @@
 
   /** Records that a report was sent to a relay. */
   recordReport(address: PeerAddress, nowMs: number): void {
+    // Entries that were replaced at another address are not asked again.
+    for (const other of this.candidates.keys()) this.find(other, nowMs);
     const known = this.find(address, nowMs);
     this.candidates.set(address, {
       lastReportAtMs: nowMs,
