Pass urgent reports on at a bounded rate

Cause: a relay passed on each urgent report after 15 ms; when all entries lose the same server within some 100 ms, that is 66 times a second to all relays and members, in the moment in which entries have the most to do. Change: the first is passed on after 15 ms, later ones 60 ms apart at the soonest. Test red without the bound; news are everywhere within 300 ms.

--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -38,9 +38,6 @@
   ) => Promise<StoreReadResult>;
 }
 
-/** Time for which urgent reports are collected before they are passed on. */
-const URGENT_DELAY_MS = 15;
-
 /** A peer counts as alive for this time after its last message. */
 const PEER_ALIVE_MS = 1000;
 
@@ -147,6 +144,7 @@
   /** Sends this entry's state to the others at once. */
   broadcastShares(): void {
     this.exchange.reportNow(this.options.nowMs());
+    this.flushUrgentWhenDue();
   }
 
   /** Relays that may be asked for what they read from the store. */
@@ -299,15 +297,16 @@
     this.heardPeers.set(link, {atMs: now, isStopping});
     this.fetchIfNewer(message.configVersion, link);
     this.exchange.applyArrived(now);
-    if (this.exchange.hasUrgent) this.flushUrgentSoon();
+    this.flushUrgentWhenDue();
   }
 
-  private flushUrgentSoon(): void {
-    if (this.urgentTimer) return;
+  private flushUrgentWhenDue(): void {
+    const {urgentDueAtMs} = this.exchange;
+    if (this.urgentTimer || urgentDueAtMs === undefined) return;
     this.urgentTimer = setTimeout(() => {
       this.urgentTimer = undefined;
       this.exchange.flushUrgent(this.options.nowMs());
-    }, URGENT_DELAY_MS);
+    }, urgentDueAtMs - this.options.nowMs());
     this.urgentTimer.unref();
   }
 
--- a/packages/forwarding/src/core/peers/report_exchange.ts
+++ b/packages/forwarding/src/core/peers/report_exchange.ts
@@ -57,6 +57,12 @@
 /** Interval of reports to the relay that the entry does not go by. */
 const SECONDARY_REPORT_INTERVAL_MS = 1000;
 
+/** Time for which urgent reports are collected before they are passed on. */
+const URGENT_DELAY_MS = 15;
+
+/** Minimum time between two passings-on of urgent reports. */
+const MIN_URGENT_INTERVAL_MS = 60;
+
 /** Relays up to which each one passes reports on with each tick. */
 const MAX_FAST_RELAYS = 10;
 
@@ -97,13 +103,14 @@
   private secondaryReportAtMs = -Infinity;
   private appliedRevision = 0;
   private appliedAtMs = -Infinity;
-  private hasUrgentReports = false;
+  private urgentAtMs: number | undefined;
+  private urgentFlushedAtMs = -Infinity;
   private lastPrimary: PeerAddress | undefined;
   constructor(private readonly options: ReportExchangeOptions) {}
 
-  /** Whether `flushUrgent` is due. */
-  get hasUrgent(): boolean {
-    return this.hasUrgentReports;
+  /** Time at which `flushUrgent` is due; undefined if nothing is urgent. */
+  get urgentDueAtMs(): number | undefined {
+    return this.urgentAtMs;
   }
 
   /** Whether this entry passes on reports of others by plan. */
@@ -132,7 +139,9 @@
     this.makeReport(nowMs, true);
     this.sendDirect(nowMs);
     if (!this.plan.isRelay) this.reportToRelays(nowMs, true);
-    if (this.actsAsRelay(nowMs)) this.passOn(nowMs, true);
+    if (!this.actsAsRelay(nowMs)) return;
+    if (this.plan.usesRelays) this.markUrgent(nowMs);
+    else this.passOn(nowMs, true);
   }
 
   /** Sends what is due; to be called each `EXCHANGE_TICK_MS`. */
@@ -157,7 +166,8 @@
 
   /** Passes on urgent reports that have arrived. */
   flushUrgent(nowMs: number): void {
-    this.hasUrgentReports = false;
+    this.urgentAtMs = undefined;
+    this.urgentFlushedAtMs = nowMs;
     this.passOn(nowMs, true);
     this.applyBoard(nowMs, true);
   }
@@ -179,7 +189,7 @@
     this.members.recordReport(node, isPrimary, nowMs);
     const report = {...message, ageMs: 0};
     const isNews = this.board.record(report, nowMs, {isPrimary});
-    if (isNews && message.isUrgent) this.hasUrgentReports = true;
+    if (isNews && message.isUrgent) this.markUrgent(nowMs);
   }
 
   /** Handles the reports that another relay passes on. */
@@ -190,7 +200,7 @@
       if (report.node === this.options.node) continue;
       hasNews = this.board.record(report, nowMs) || hasNews;
     }
-    if (hasNews && message.isUrgent) this.hasUrgentReports = true;
+    if (hasNews && message.isUrgent) this.markUrgent(nowMs);
   }
 
   /** Handles the report of a relay on all other entries. */
@@ -204,6 +214,14 @@
     else this.options.applyState(state, 'news');
   }
 
+  /** Many entries report the loss of the same server within some 100 ms. */
+  private markUrgent(nowMs: number): void {
+    this.urgentAtMs ??= Math.max(
+      nowMs + URGENT_DELAY_MS,
+      this.urgentFlushedAtMs + MIN_URGENT_INTERVAL_MS,
+    );
+  }
+
   /** Handles the report of an entry of a release that knows no relays. */
   handleDirect(node: string, report: EntryReport, nowMs: number): void {
     const body = encodePart(report);
--- a/packages/forwarding/test/report_exchange_test.ts
+++ b/packages/forwarding/test/report_exchange_test.ts
@@ -111,6 +111,21 @@
         expect(delayMs).toBeLessThan(300);
       });
 
+      // Guards against relays that pass on each of many reports of one loss.
+      it('passes on the news of all entries at a bounded rate', () => {
+        const fleet = createFleet(68, seed);
+        expectAllKnown(fleet, 2000);
+        fleet.sentMessages = 0;
+        for (const entry of fleet.alive) {
+          entry.suspect('10.9.0.5:80');
+          fleet.advance(5);
+        }
+        expect(timeUntilSuspected(fleet, '10.9.0.5:80')).toBeLessThan(300);
+        const urgentMessages = fleet.sentMessages - 68 * 2;
+        // 10 relays that pass on 6 times to 9 relays and 14 entries.
+        expect(urgentMessages).toBeLessThan(10 * 6 * (9 + 14) * 1.5);
+      });
+
       it('forgets nothing as relays are lost one after the other', () => {
         const fleet = createFleet(68, seed);
         expectAllKnown(fleet, 2000);
--- a/packages/forwarding/test/report_fleet.ts
+++ b/packages/forwarding/test/report_fleet.ts
@@ -24,9 +24,6 @@
 
 const STEP_MS = 5;
 
-/** Delay with which an adapter passes urgent reports on. */
-const URGENT_DELAY_MS = 15;
-
 const ZONES = ['a', 'b', 'c', 'd', 'e'];
 
 /** First server of the only chain, whose tokens the entries use. */
@@ -130,7 +127,6 @@
   private exchange: ReportExchange;
   private directory: readonly RegisteredEntry[] = [];
   private nextTickMs: number;
-  private urgentAtMs = Infinity;
 
   constructor(
     readonly index: number,
@@ -196,10 +192,8 @@
 
   step(): void {
     const {nowMs} = this.fleet;
-    if (nowMs >= this.urgentAtMs) {
-      this.urgentAtMs = Infinity;
+    if (nowMs >= (this.exchange.urgentDueAtMs ?? Infinity))
       this.exchange.flushUrgent(nowMs);
-    }
     if (nowMs < this.nextTickMs) return;
     this.nextTickMs += EXCHANGE_TICK_MS;
     if (!this.isEarlierRelease) return this.exchange.tick(nowMs);
@@ -234,8 +228,6 @@
       default:
     }
     this.exchange.applyArrived(nowMs);
-    if (this.exchange.hasUrgent && this.urgentAtMs === Infinity)
-      this.urgentAtMs = nowMs + URGENT_DELAY_MS;
   }
 
   private createExchange(): ReportExchange {
