Keep the chains of a very large fleet that lost no server

Cause: any lost server of a chain made each entry derive all chains at once. Change: above 150 servers the chains that lost one are dropped, and the others kept until the interval of the derivation is over. Smaller fleets derive at once as before. Test red without it.

--- a/packages/forwarding/src/core/admission/chain_places.ts
+++ b/packages/forwarding/src/core/admission/chain_places.ts
@@ -42,6 +42,12 @@
  */
 const DERIVATION_INTERVAL_PER_SERVER_MS = 1.5;
 
+/**
+ * In larger fleets some server of a chain is lost nearly all the time, and to
+ * derive all chains takes tens of milliseconds. The others are kept then.
+ */
+const MAX_SERVERS_DERIVED_AT_ONCE = 150;
+
 export class ChainPlaces {
   private chains: ServerChain[] = [];
   private derivedAtMs = -Infinity;
@@ -52,38 +58,48 @@
 
   /** Chains of usable servers, cached until the fleet or model changes. */
   current(): ServerChain[] {
-    const {fleet, loads, service, model, nowMs} = this.options;
+    const {fleet, service, model, nowMs} = this.options;
     const spec = model();
     const isCached =
       fleet.revision === this.chainsRevision && spec === this.chainsModel;
     if (isCached) return this.chains;
     const now = nowMs();
-    if (spec === this.chainsModel && this.mayKeepChains(now))
-      return this.chains;
+    const kept = spec === this.chainsModel ? this.keepChains(now) : undefined;
+    if (kept?.length === this.chains.length) return this.chains;
+    if (kept) return this.replaceChains(kept, now);
     this.derivedAtMs = now;
     this.chainsRevision = fleet.revision;
     this.chainsModel = spec;
-    const before = describeChains(this.chains);
-    this.chains = spec ? findChains(spec, fleet.usable(service)) : [];
-    const hasChanged = describeChains(this.chains) !== before;
+    const chains = spec ? findChains(spec, fleet.usable(service)) : [];
+    return this.replaceChains(chains, now);
+  }
+
+  private replaceChains(chains: ServerChain[], nowMs: number): ServerChain[] {
+    const {loads, service, onChainsChanged} = this.options;
+    const hasChanged = describeChains(chains) !== describeChains(this.chains);
+    this.chains = chains;
     if (hasChanged) {
-      loads.recordChains(service, this.chains, now);
-      this.options.onChainsChanged(this.chains);
+      loads.recordChains(service, chains, nowMs);
+      onChainsChanged(chains);
     }
-    return this.chains;
+    return chains;
   }
 
-  /** Whether the chains may be used although the fleet has changed. */
-  private mayKeepChains(nowMs: number): boolean {
+  /**
+   * Returns the chains that may be used although the fleet has changed;
+   * undefined if all should be derived again.
+   */
+  private keepChains(nowMs: number): ServerChain[] | undefined {
     const {fleet} = this.options;
     const intervalMs = fleet.size * DERIVATION_INTERVAL_PER_SERVER_MS;
-    return (
-      nowMs - this.derivedAtMs < intervalMs &&
-      this.chains.length > 0 &&
-      this.chains.every(({path}) =>
-        path.every(({server}) => fleet.isUsableAs(server)),
-      )
+    if (nowMs - this.derivedAtMs >= intervalMs) return undefined;
+    const kept = this.chains.filter(({path}) =>
+      path.every(({server}) => fleet.isUsableAs(server)),
     );
+    if (kept.length === 0) return undefined;
+    const hasLost = kept.length < this.chains.length;
+    const mayLose = fleet.size > MAX_SERVERS_DERIVED_AT_ONCE;
+    return hasLost && !mayLose ? undefined : kept;
   }
 
   /** Chains that get requests, if they have free tokens. */
--- a/packages/forwarding/test/chain_places_test.ts
+++ b/packages/forwarding/test/chain_places_test.ts
@@ -73,4 +73,43 @@
     const firsts = () => places.current().map(c => c.path[0].server.address);
     expect(firsts()).toInclude(server.address);
   });
+
+  // Guards against entries that do nothing but derive chains while servers of
+  // a very large fleet are lost one after the other.
+  describe('of a very large fleet', () => {
+    const COPIES = 10;
+
+    beforeEach(() => {
+      for (let copy = 1; copy < COPIES; copy++) {
+        for (const server of laidOutFleet()) {
+          fleet.put(
+            {
+              ...server,
+              server: `${server.server}-${copy}` as never,
+              address: `${copy}.${server.address}`,
+              availabilityZone: `${server.availabilityZone}-${copy}`,
+            },
+            0,
+          );
+        }
+      }
+      nowMs = 1000;
+      places.current();
+    });
+
+    it('keeps the chains that lost no server', () => {
+      const before = places.current();
+      expect(before.length).toBeGreaterThan(20);
+      for (let i = 0; i < 5; i++) {
+        const [lost, ...others] = places.current();
+        fleet.suspect(lost.path[0].server.address);
+        // Chains that were derived anew would be other objects.
+        expect(places.current().every((c, n) => c === others[n])).toEqual(true);
+        nowMs += 50;
+      }
+      nowMs += 1000;
+      fleet.suspect(places.current()[0].path[0].server.address);
+      expect(places.current().length).toBeGreaterThan(20);
+    });
+  });
 });
