Dispose of the listener for restores with its store

Cause: the relayed store listened to the store for as long as that lived. Change: it is a member of the process's store of disposables. No behaviour changed otherwise; its tests and those of restores are green.

--- a/packages/forwarding/src/core/peers/relayed_prefix_store.ts
+++ b/packages/forwarding/src/core/peers/relayed_prefix_store.ts
@@ -65,12 +65,13 @@
   readonly data: Uint8Array;
 }
 
-export class RelayedPrefixStore extends PrefixStore {
+export class RelayedPrefixStore extends PrefixStore implements Disposable {
   private readonly readings = new Map<string, OwnReading>();
   private readonly restoreListeners = new Set<
     (restore: StoreRestore) => void
   >();
   private readonly lastRevisions = new Map<string, number>();
+  private readonly storeListener: Disposable;
   private failedAtMs = -Infinity;
   private era: number | undefined;
   private isStoreReachable = true;
@@ -78,7 +79,7 @@
 
   constructor(private readonly options: RelayedPrefixStoreOptions) {
     super();
-    options.store.onRestore(({previousEra, era}) => {
+    this.storeListener = options.store.onRestore(({previousEra, era}) => {
       this.era ??= previousEra;
       this.recordEra(era);
     });
@@ -112,6 +113,10 @@
     return {[Symbol.dispose]: () => this.restoreListeners.delete(listener)};
   }
 
+  [Symbol.dispose](): void {
+    this.storeListener[Symbol.dispose]();
+  }
+
   /**
    * Records whether other calls to the store succeed. A watch that waits does
    * not show that the store cannot be reached, and others rely on it.
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -219,15 +219,17 @@
         readStoreFor: request => this.prefixes.answer(request),
       }),
     );
-    this.prefixes = new RelayedPrefixStore({
-      store: adapter.prefixes,
-      nowMs,
-      relays: () => this.mesh.storeRelays(),
-      ask: (relay, question, signal) =>
-        this.mesh.askStore(relay, question, signal),
-      onRead: source =>
-        metrics.increment('azurecrank_store_reads_total', {source}),
-    });
+    this.prefixes = this.disposables.add(
+      new RelayedPrefixStore({
+        store: adapter.prefixes,
+        nowMs,
+        relays: () => this.mesh.storeRelays(),
+        ask: (relay, question, signal) =>
+          this.mesh.askStore(relay, question, signal),
+        onRead: source =>
+          metrics.increment('azurecrank_store_reads_total', {source}),
+      }),
+    );
     this.declarePeerTraffic();
     const upstream = this.disposables.add(new HttpUpstream());
     const refusals = new RefusalSender(metrics, logger, 'fractions');
