--- a/packages/forwarding/src/core/gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/core/gateway/forwarding_gateway.ts
@@ -63,7 +63,7 @@
  * If the previous check was longer ago than this, the process itself was paused
  * and missing events do not count as stalls.
  */
-const LATE_CHECK_THRESHOLD_MS = 2 * STREAM_CHECK_INTERVAL_MS;
+const LATE_CHECK_THRESHOLD_MS = 60;
 
 export class ForwardingGateway implements Disposable {
   private readonly streams = new Set<StreamRelay>();
