Count requests of a former path by the layers that they occupy

What callers saw: after a loss of servers their streams were sent to a chain that refused them at once, again and again.

Cause: the part of that server had become smaller in three steps (67-73, 67-72, 69-72), so each token took fewer layers there and the chain's capacity rose from 61,511 to 123,023 tokens. The requests that still ran occupied six layers for each token, but counted as if they occupied three.

Change: a recorded path keeps the tokens that it had when it was replaced; they count by the layers of its part, and fade over the time for which former paths are kept, since the tokens of one first server are reported together.

The three tests of chain_loads_test failed before.

--- a/packages/forwarding/src/core/admission/chain_loads.ts
+++ b/packages/forwarding/src/core/admission/chain_loads.ts
@@ -46,6 +46,19 @@
   readonly path: ServerPath;
   /** Time at which new requests went elsewhere; undefined for current paths. */
   readonly replacedAtMs: number | undefined;
+  /** Tokens of its requests at that time; 0 for current paths. */
+  readonly tokensAtReplacement: number;
+}
+
+/** Requests that pass a server and began at the same first server. */
+interface PassingRequests {
+  readonly first: ServerAddress;
+  /** Recorded paths on which they occupy more layers of the server. */
+  readonly heavier: ReadonlyArray<{
+    readonly recorded: RecordedPath;
+    /** Layers on that path for each layer on the path in question. */
+    readonly layerRatio: number;
+  }>;
 }
 
 interface PeerUsage {
@@ -58,7 +71,7 @@
   private readonly peerUsages = new Map<string, PeerUsage>();
   private readonly refusingChains = new Map<ServerAddress, RefusingChain>();
   private recordedPaths: RecordedPath[] = [];
-  private firstServersByPath = new WeakMap<ServerPath, ServerAddress[][]>();
+  private passingByPath = new WeakMap<ServerPath, PassingRequests[][]>();
 
   /**
    * @param limits limits that servers name; none by default
@@ -94,25 +107,57 @@
   /**
    * Records the chains that new requests of a service take. Requests of earlier
    * chains go on with their servers, some of which may be part of other chains
-   * now; the tokens of both count for these.
+   * now, or of the same chain with fewer layers; the tokens of both count for
+   * these.
    */
   recordChains(
     service: ServiceId,
     chains: readonly ServerChain[],
     nowMs: number,
   ): void {
-    this.firstServersByPath = new WeakMap();
+    this.passingByPath = new WeakMap();
     const former = this.recordedPaths
       .map(recorded =>
-        recorded.path[0].server.service === service
-          ? {...recorded, replacedAtMs: recorded.replacedAtMs ?? nowMs}
+        recorded.path[0].server.service === service &&
+        recorded.replacedAtMs === undefined
+          ? this.replacePath(recorded, nowMs)
           : recorded,
       )
       .filter(recorded => this.mayBeInUse(recorded, nowMs));
-    const current = chains.map(({path}) => ({path, replacedAtMs: undefined}));
+    const current = chains.map(({path}) => ({
+      path,
+      replacedAtMs: undefined,
+      tokensAtReplacement: 0,
+    }));
     this.recordedPaths = [...former, ...current];
   }
 
+  private replacePath({path}: RecordedPath, nowMs: number): RecordedPath {
+    const first = path[0].server.address;
+    const onFormerPaths = this.recordedPaths
+      .filter(other => other.path[0].server.address === first)
+      .reduce((sum, other) => sum + this.formerTokens(other, nowMs), 0);
+    const tokensAtReplacement = Math.max(
+      0,
+      this.usedTokensOf(first, nowMs) - onFormerPaths,
+    );
+    return {path, replacedAtMs: nowMs, tokensAtReplacement};
+  }
+
+  /**
+   * Estimates the tokens of requests that still use a replaced path. Those of
+   * all paths from one first server are reported together.
+   */
+  private formerTokens(
+    {path, replacedAtMs, tokensAtReplacement}: RecordedPath,
+    nowMs: number,
+  ): number {
+    if (replacedAtMs === undefined) return 0;
+    const left = 1 - (nowMs - replacedAtMs) / FORMER_PATH_RETENTION_MS;
+    const used = this.usedTokensOf(path[0].server.address, nowMs);
+    return Math.min(used, tokensAtReplacement * Math.max(0, left));
+  }
+
   private mayBeInUse(
     {path, replacedAtMs}: RecordedPath,
     nowMs: number,
@@ -166,38 +211,63 @@
 
   /**
    * Tokens in use, by this entry and its peers, on the server of the path that
-   * has the most.
+   * has the most. Requests that occupy more layers of a server than the path
+   * does count as so many times their tokens.
    */
   usedTokens(path: ServerPath, nowMs: number): number {
-    let firstServersOfEach = this.firstServersByPath.get(path);
-    if (!firstServersOfEach) {
-      firstServersOfEach = this.firstServersOfEach(path);
-      this.firstServersByPath.set(path, firstServersOfEach);
+    let passingEach = this.passingByPath.get(path);
+    if (!passingEach) {
+      passingEach = this.passingEach(path);
+      this.passingByPath.set(path, passingEach);
     }
-    const usedOfEach = firstServersOfEach.map(firstServers =>
-      firstServers.reduce(
-        (sum, first) => sum + this.usedTokensOf(first, nowMs),
-        0,
-      ),
+    const usedOfEach = passingEach.map(passing =>
+      passing.reduce((sum, one) => sum + this.tokensOf(one, nowMs), 0),
     );
     return Math.max(...usedOfEach);
   }
 
+  private tokensOf({first, heavier}: PassingRequests, nowMs: number): number {
+    const used = this.usedTokensOf(first, nowMs);
+    const extra = heavier.map(({recorded, layerRatio}) => {
+      const isFormer = recorded.replacedAtMs !== undefined;
+      const tokens = isFormer ? this.formerTokens(recorded, nowMs) : used;
+      return tokens * (layerRatio - 1);
+    });
+    return extra.reduce((sum, tokens) => sum + tokens, used);
+  }
+
   /**
-   * Returns for each server of the path the first servers whose requests pass
-   * it; equal lists only once.
+   * Returns for each server of the path the requests that pass it; equal lists
+   * only once.
    */
-  private firstServersOfEach(path: ServerPath): ServerAddress[][] {
-    const first = path[0].server.address;
-    const lists = path.map(({server}) => {
-      const others = this.recordedPaths
-        .filter(recorded =>
-          recorded.path.some(other => other.server.address === server.address),
-        )
-        .map(recorded => recorded.path[0].server.address);
-      return [...new Set([first, ...others])].sort();
-    });
-    return [...new Map(lists.map(list => [list.join(), list])).values()];
+  private passingEach(path: ServerPath): PassingRequests[][] {
+    const own = path[0].server.address;
+    const lists = new Map<string, PassingRequests[]>();
+    for (const part of path) {
+      const through = this.recordedPaths.flatMap(recorded => {
+        const at = recorded.path.find(
+          other => other.server.address === part.server.address,
+        );
+        return at
+          ? [{recorded, layerRatio: layersOf(at) / layersOf(part)}]
+          : [];
+      });
+      const firsts = through.map(({recorded}) => firstServerOf(recorded));
+      const passing = [...new Set([own, ...firsts])].sort().map(first => ({
+        first,
+        heavier: through.filter(
+          ({recorded, layerRatio}) =>
+            firstServerOf(recorded) === first && layerRatio > 1,
+        ),
+      }));
+      // Servers with heavier requests have lists of their own.
+      const isPlain = passing.every(({heavier}) => heavier.length === 0);
+      const key = isPlain
+        ? passing.map(({first}) => first).join()
+        : part.server.address;
+      lists.set(key, passing);
+    }
+    return [...lists.values()];
   }
 
   /** Tokens of the requests that were sent to this first server. */
@@ -254,3 +324,11 @@
     return this.freeTokens(chain, nowMs) >= tokens;
   }
 }
+
+function firstServerOf({path}: RecordedPath): ServerAddress {
+  return path[0].server.address;
+}
+
+function layersOf({firstLayer, endLayer}: ServerPath[number]): number {
+  return endLayer - firstLayer;
+}
--- a/packages/forwarding/test/chain_loads_test.ts
+++ b/packages/forwarding/test/chain_loads_test.ts
@@ -63,6 +63,51 @@
       expect(loads.usedTokens(successor.path, 100)).toEqual(30_000);
     });
 
+    // Guards against filling a server whose part of a chain has become smaller
+    // while requests still occupy the former part of it (incident 10).
+    describe('and a server runs fewer layers of it than before', () => {
+      const [head, middle, last] = chain.path;
+      const {firstLayer, endLayer} = middle;
+      const halved: ServerChain = {
+        ...chain,
+        path: [
+          {...head, endLayer: (firstLayer + endLayer) / 2},
+          {...middle, firstLayer: (firstLayer + endLayer) / 2},
+          last,
+        ],
+      };
+
+      it('counts running requests by the layers that they occupy', () => {
+        const loads = new ChainLoads();
+        loads.recordChains(SERVICE, [chain], 0);
+        loads.reserve(first, 20_000, 0);
+        loads.setPeerUsage('peer', {[first]: 10_000}, 0);
+        loads.recordChains(SERVICE, [halved], 100);
+        expect(loads.usedTokens(halved.path, 100)).toEqual(60_000);
+      });
+
+      it('counts requests that began afterwards once', () => {
+        const loads = new ChainLoads();
+        loads.recordChains(SERVICE, [chain], 0);
+        loads.reserve(first, 20_000, 0);
+        loads.recordChains(SERVICE, [halved], 100);
+        loads.reserve(first, 5000, 100);
+        expect(loads.usedTokens(halved.path, 100)).toEqual(45_000);
+        loads.release(first, 20_000);
+        expect(loads.usedTokens(halved.path, 5100)).toEqual(5000);
+      });
+
+      it('counts each replaced path for the requests that it had', () => {
+        const loads = new ChainLoads();
+        loads.recordChains(SERVICE, [chain], 0);
+        loads.reserve(first, 20_000, 0);
+        loads.recordChains(SERVICE, [halved], 100);
+        loads.reserve(first, 5000, 100);
+        loads.recordChains(SERVICE, [{...halved}], 100);
+        expect(loads.usedTokens(halved.path, 100)).toEqual(45_000);
+      });
+    });
+
     it('forgets the former chain once its requests have ended', () => {
       const loads = new ChainLoads();
       loads.recordChains(SERVICE, [chain], 0);
