Keep services of former tables for the requests that use them

Callers saw started streams without a further event until their time limit, then a closed connection, when a configuration dropped the service of their route and their server was lost later, or they were waiting for a chain.

Cause: the admission of a service took its model from the table in force. Without one there are no chains, though the servers are still there and the stream was accepted under a table that had the service. Health checks of its servers asked for "/" from then on.

Change: the holder of the table returns a service as the newest table that had it describes it. New requests are still routed by the table in force alone.

Evidence: table_change_test runs an entry with five changes of the table beside a stream that is silent, loses its server or waits for a chain, and beside a request whose body is still arriving. Time-outs, routes and keys are taken at acceptance, so the others passed before.

--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -261,7 +261,7 @@
       nowMs,
       wasPaused: () => this.pauses.wasPausedWithin(PAUSE_GRACE_MS),
       healthPathOf: service =>
-        this.tableHolder.table?.services.get(service)?.healthPath ?? '/',
+        this.tableHolder.findService(service)?.healthPath ?? '/',
       hasEventSince: (address, sinceMs) =>
         this.gateway.hasEventSince(address, sinceMs),
       onServerLost,
@@ -571,11 +571,11 @@
         fleet: this.fleet,
         loads: this.loads,
         peerQueues: this.peerQueues,
-        model: () => this.tableHolder.table?.services.get(service)?.model,
+        model: () => this.tableHolder.findService(service)?.model,
         nowMs: () => performance.now(),
         onChainsChanged: chains => {
           this.layoutRunner?.recordChains(chains);
-          const model = this.tableHolder.table?.services.get(service)?.model;
+          const model = this.tableHolder.findService(service)?.model;
           const fields = {service, ...chainFields(model, chains)};
           this.logger.info('chains in use', fields);
         },
--- a/packages/forwarding/src/core/routing/table_holder.ts
+++ b/packages/forwarding/src/core/routing/table_holder.ts
@@ -1,14 +1,16 @@
 /** Holds the newest routing table and ignores older ones. */
-import type {Logger} from '@azurecrank/core';
+import type {Logger, ServiceId} from '@azurecrank/core';
 import type {StoreCodec} from '../adapter/platform_adapter.js';
 import type {RoutingView} from '../gateway/accept_request.js';
 import {RequestRanking} from './request_ranking.js';
 import {RouteIndex} from './route_index.js';
-import type {RoutingTable} from './routing_table.js';
+import type {RoutingTable, ServiceSpec} from './routing_table.js';
 
 export class TableHolder {
   private current: RoutingView | undefined;
   private currentText = '';
+  /** Services of all tables so far, as the newest table with them has them. */
+  private readonly services = new Map<ServiceId, ServiceSpec>();
 
   constructor(
     private readonly codec: StoreCodec,
@@ -24,6 +26,14 @@
     return this.current?.table;
   }
 
+  /**
+   * Returns a service of the current table, or of the last one that had it:
+   * requests that were accepted under that table go on with it.
+   */
+  findService(service: ServiceId): ServiceSpec | undefined {
+    return this.services.get(service);
+  }
+
   /** The table in its stored form; version 0 and empty before the first. */
   get stored(): {readonly version: number; readonly text: string} {
     return {version: this.current?.table.version ?? 0, text: this.currentText};
@@ -49,6 +59,8 @@
     const version = this.current?.table.version ?? 0;
     if (table.version <= version) return;
     this.currentText = text;
+    for (const spec of table.services.values())
+      this.services.set(spec.service, spec);
     this.current = {
       table,
       index: new RouteIndex(table.routes),
