Let started streams wait while a part of their prompt is blocked

Callers saw a started stream closed in the middle of the answer with most of its time left when it lost its server while a part of its prompt was blamed for other lost servers, also when it merely waited for a chain or when its run on the next server had no event yet.

Cause: each block of the quarantine ended a started stream, though blocks after a loss or two last for the trial of another request or for 3 s. Parts that no server has answered yet are blamed for two losses, which need not be independent, so servers that are lost together may blame sound prompts. All entries hear of the blame at once and close their streams in the same moment.

Change: a started stream that may be resumed gives up its run and waits with the interrupted streams, without a turn, until the block has ended. No server gets its prompt before that. It still ends at once if the block outlasts its time limit. "stream waits for a chain" names the shortage "cleared_prompt".

--- a/packages/forwarding/src/core/relay/stream_continuation.ts
+++ b/packages/forwarding/src/core/relay/stream_continuation.ts
@@ -23,11 +23,17 @@
   readonly service: ServiceId;
   readonly budget: SharedRetryBudget;
   readonly fleet: FleetView;
+  /** Time for which no server may get the prompt; 0 if it may be sent. */
+  readonly blockedForMs: () => number;
   readonly nowMs: () => number;
 }
 
 /** What keeps a waiting stream from continuing. */
-export type StreamLack = ChainLack | 'retry_budget';
+export type StreamLack =
+  | ChainLack
+  | 'retry_budget'
+  /** A part of its prompt is blamed for lost servers. */
+  | 'cleared_prompt';
 
 export class StreamContinuation {
   /** Whether a server may have run the request. */
@@ -97,7 +103,7 @@
   /** Whether a started stream would go on at once if it left its server. */
   canContinueElsewhere(first: ServerAddress): boolean {
     if (this.decide(true).kind !== 'resume') return false;
-    if (this.availableRetries < 1) return false;
+    if (this.availableRetries < 1 || this.isBlocked) return false;
     const mayContinueOn = this.chainFilter();
     return this.admission.places.hasFreeTokensOn(
       this.request.costTokens,
@@ -127,7 +133,7 @@
       rank,
       costTokens,
       interruptedAtMs: lastEventAtMs,
-      mayContinueOn: first => this.chainFilter()(first),
+      mayContinueOn: first => !this.isBlocked && this.chainFilter()(first),
       isRestricted: () => this.isRestricted,
       availableRetries: () => this.availableRetries,
       resume: chain => {
@@ -150,6 +156,7 @@
   /** What keeps the stream from continuing; undefined if it does not wait. */
   get waitsFor(): StreamLack | undefined {
     if (!this.isWaiting) return undefined;
+    if (this.isBlocked) return 'cleared_prompt';
     if (this.availableRetries < 1) return 'retry_budget';
     return this.admission.places.lackOf(
       this.request.costTokens,
@@ -157,6 +164,10 @@
     );
   }
 
+  private get isBlocked(): boolean {
+    return this.options.blockedForMs() > 0;
+  }
+
   private get availableRetries(): number {
     const {budget, service, nowMs} = this.options;
     return budget.available(service, nowMs());
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -111,6 +111,8 @@
 
 const HTTP_OK = 200;
 
+const QUARANTINED_CAUSE = 'a part of the prompt ends servers';
+
 export class StreamRelay {
   private splitter: EventSplitter;
   private upstream: Exchange | undefined;
@@ -173,14 +175,14 @@
       accepted,
       queuedRequest,
       admission,
-      options,
+      {...options, blockedForMs: () => this.promptGuard.blockedForMs()},
     );
     exchange.res.once('close', () => this.handleCallerDisconnect());
   }
 
   /** Queues the request, unless its prompt is known to end servers. */
   enqueue(): void {
-    if (this.promptGuard.blockedForMs() > 0) return this.endQuarantined();
+    if (this.isQuarantined) return this.endQuarantined();
     this.admission.enqueue(this.queuedRequest);
   }
 
@@ -254,9 +256,14 @@
     if (nowMs >= this.accepted.deadlineAtMs - DEADLINE_MARGIN_MS) {
       return this.handleDeadline();
     }
-    if (this.promptGuard.shouldStopRun) return this.endQuarantined();
-    if (this.continuation.isWaiting) return this.continuation.forgetFailures();
-    if (this.path.length === 0 || this.isRepathing) return;
+    const isWaiting = this.continuation.isWaiting;
+    const {shouldStopRun} = this.promptGuard;
+    if ((isWaiting || shouldStopRun) && this.isQuarantined)
+      return this.endQuarantined();
+    if (isWaiting) return this.continuation.forgetFailures();
+    if (this.path.length === 0) return;
+    if (shouldStopRun) return this.abandonServer(QUARANTINED_CAUSE);
+    if (this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
     const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
     if (!this.isPathSound() && this.leaveUnsoundPath(nowMs)) return;
@@ -570,7 +577,7 @@
    */
   private continueOrEnd(first: ServerAddress, isRefusal: boolean): void {
     if (this.isFinished) return;
-    if (this.promptGuard.blockedForMs() > 0) return this.endQuarantined();
+    if (this.isQuarantined) return this.endQuarantined();
     const {nowMs, budget, metrics, service} = this.options;
     const now = nowMs();
     const availableRetries = budget.available(service, now);
@@ -665,12 +672,24 @@
     refusals.refuse(this.exchange, refusal);
   }
 
+  /**
+   * Whether servers must not get the request because of its prompt. A started
+   * stream that may be resumed waits if the block ends before its time limit.
+   */
+  private get isQuarantined(): boolean {
+    const blockedForMs = this.promptGuard.blockedForMs();
+    const {route, deadlineAtMs} = this.accepted;
+    const mayWait = this.isHeadSent && route.isResumable;
+    const waitMs = mayWait ? deadlineAtMs - this.options.nowMs() : 0;
+    return blockedForMs > Math.max(0, waitMs);
+  }
+
   /** Ends a request that a server must not get because of its prompt. */
   private endQuarantined(): void {
     if (this.isFinished) return;
     const isRunning = this.upstream?.wasSent ?? false;
     this.upstream?.abort();
-    this.lastCause = 'a part of the prompt ends servers';
+    this.lastCause = QUARANTINED_CAUSE;
     if (this.isHeadSent)
       return this.endIncomplete({kind: 'cut', endedBy: 'quarantined'});
     if (this.continuation.mayHaveRun || isRunning) {
