Spread the attempts of a started stream over time

Callers saw a started stream closed within 300 ms, with most of its time left, when servers broke it off again and again for a moment.

Cause: a stream may be sent to servers six times. A waiting stream forgets every 20 ms where it has failed and starts its next attempt at once, so a short failure of all chains uses up every attempt and the stream ends by "attempts".

Change: the first two losses since the last event are followed by an attempt at once, the next ones by 200, 400 and 800 ms without one. That covers about the time that callers wait for an event. The number of attempts stays. "stream waits for a chain" names the wait "next_attempt".

--- a/packages/forwarding/src/core/relay/stream_continuation.ts
+++ b/packages/forwarding/src/core/relay/stream_continuation.ts
@@ -33,7 +33,16 @@
   | ChainLack
   | 'retry_budget'
   /** A part of its prompt is blamed for lost servers. */
-  | 'cleared_prompt';
+  | 'cleared_prompt'
+  /** Several servers broke it off before its next event. */
+  | 'next_attempt';
+
+/**
+ * Time before the next attempt, by the number of losses since the last event.
+ * Spreads the attempts over about the time that callers wait for an event:
+ * servers that fail for a moment would use up all of them.
+ */
+const ATTEMPT_DELAYS_MS = [0, 0, 200, 400, 800];
 
 export class StreamContinuation {
   /** Whether a server may have run the request. */
@@ -42,6 +51,9 @@
   /** Number of attempts that a server refused without running them. */
   private refusedAttempts = 0;
   private waitingSinceMs: number | undefined;
+  private lossesSinceEvent = 0;
+  /** Time before which the next attempt does not start. */
+  private nextAttemptAtMs = -Infinity;
   private readonly failedFirstServers = new Set<ServerAddress>();
   /** First servers that may have run the request. */
   private readonly mayHaveRunOn = new Set<ServerAddress>();
@@ -72,6 +84,10 @@
     this.mayHaveRunOn.add(first);
   }
 
+  recordEvent(): void {
+    this.lossesSinceEvent = 0;
+  }
+
   /**
    * Records that the request does not go on at this first server.
    * @param isRefusal whether the server refused it without running it
@@ -79,9 +95,17 @@
   recordFailure(first: ServerAddress, isRefusal: boolean): void {
     // A refused request has not run and does not count as an attempt.
     if (isRefusal) this.refusedAttempts++;
+    else this.delayNextAttempt();
     this.failedFirstServers.add(first);
   }
 
+  private delayNextAttempt(): void {
+    const last = ATTEMPT_DELAYS_MS.length - 1;
+    const delayMs = ATTEMPT_DELAYS_MS[Math.min(this.lossesSinceEvent, last)];
+    this.nextAttemptAtMs = this.options.nowMs() + delayMs;
+    this.lossesSinceEvent++;
+  }
+
   /** Forgets the failed servers: they may have recovered. */
   forgetFailures(): void {
     this.failedFirstServers.clear();
@@ -133,7 +157,7 @@
       rank,
       costTokens,
       interruptedAtMs: lastEventAtMs,
-      mayContinueOn: first => !this.isBlocked && this.chainFilter()(first),
+      mayContinueOn: first => this.mayAttempt && this.chainFilter()(first),
       isRestricted: () => this.isRestricted,
       availableRetries: () => this.availableRetries,
       resume: chain => {
@@ -157,6 +181,7 @@
   get waitsFor(): StreamLack | undefined {
     if (!this.isWaiting) return undefined;
     if (this.isBlocked) return 'cleared_prompt';
+    if (!this.mayAttempt) return 'next_attempt';
     if (this.availableRetries < 1) return 'retry_budget';
     return this.admission.places.lackOf(
       this.request.costTokens,
@@ -168,6 +193,10 @@
     return this.options.blockedForMs() > 0;
   }
 
+  private get mayAttempt(): boolean {
+    return !this.isBlocked && this.options.nowMs() >= this.nextAttemptAtMs;
+  }
+
   private get availableRetries(): number {
     const {budget, service, nowMs} = this.options;
     return budget.available(service, nowMs());
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -454,6 +454,7 @@
     }
     this.lastEventAtMs = now;
     this.hasEventOnPath = true;
+    this.continuation.recordEvent();
     this.promptGuard.recordEvents();
     this.options.failureDetector.recordEvent(this.path[0].server.address, now);
   }
