Track the layers in use of each service by itself

With two model services, the planner of the layout took the layers of one model for unused 4 s after the other one had got other chains, for example with a configuration that adds a model or a server that is lost. It could then order servers to give up layers under running streams, which callers would see as refused or interrupted streams.

Cause: the chains of whichever service changed last replaced those of all.

Change: chains are kept by service.

Evidence: found in reading; no deployment here is known to have two models, so no such stream was seen. The new test in plan_layout_test fails if chains replace those of other services, as before (tried), and passes now.

--- a/packages/forwarding/src/core/placement/layers_in_use.ts
+++ b/packages/forwarding/src/core/placement/layers_in_use.ts
@@ -1,5 +1,5 @@
 /** Tracks the layers that running requests may use on each server. */
-import type {ServerId} from '@azurecrank/core';
+import type {ServerId, ServiceId} from '@azurecrank/core';
 import type {LayerRange} from '../fleet/backend_server.js';
 import type {ServerChain} from '../paths/find_chains.js';
 import {spanningRange} from './redistribute_layers.js';
@@ -32,7 +32,7 @@
  * the layers of their chain after new requests take other chains.
  */
 export class LayersInUseTracker {
-  private currentLayers: LayersInUse = new Map();
+  private readonly currentLayers = new Map<ServiceId, LayersInUse>();
   private recentLayers: Array<{used: LayersInUse; untilMs: number}> = [];
   private changeCount = 0;
 
@@ -42,12 +42,17 @@
     return this.changeCount;
   }
 
-  setChains(chains: readonly ServerChain[], nowMs: number): void {
+  /** Replaces the chains of one service. */
+  setChains(
+    service: ServiceId,
+    chains: readonly ServerChain[],
+    nowMs: number,
+  ): void {
     this.recentLayers.push({
-      used: this.currentLayers,
+      used: this.currentLayers.get(service) ?? new Map(),
       untilMs: nowMs + LAYERS_IN_USE_RETENTION_MS,
     });
-    this.currentLayers = layersUsedByChains(chains);
+    this.currentLayers.set(service, layersUsedByChains(chains));
     this.changeCount++;
     this.expire(nowMs);
   }
@@ -55,7 +60,9 @@
   /** Returns all layers that may be in use, those of recent chains included. */
   get(nowMs: number): LayersInUse {
     this.expire(nowMs);
-    const all = new Map(this.currentLayers);
+    const all = new Map(
+      [...this.currentLayers.values()].flatMap(used => [...used]),
+    );
     for (const {used} of this.recentLayers) {
       for (const [server, range] of used) {
         all.set(server, spanningRange(all.get(server), range));
--- a/packages/forwarding/src/core/placement/layout_runner.ts
+++ b/packages/forwarding/src/core/placement/layout_runner.ts
@@ -134,9 +134,9 @@
     return this.options.lease.handOver();
   }
 
-  /** Records the chains that new requests take from now on. */
-  recordChains(chains: readonly ServerChain[]): void {
-    this.layersInUse.setChains(chains, this.options.nowMs());
+  /** Records the chains that new requests of a service take from now on. */
+  recordChains(service: ServiceId, chains: readonly ServerChain[]): void {
+    this.layersInUse.setChains(service, chains, this.options.nowMs());
   }
 
   /** Runs the next check at once if this entry holds the lease. */
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -574,7 +574,7 @@
         model: () => this.tableHolder.findService(service)?.model,
         nowMs: () => performance.now(),
         onChainsChanged: chains => {
-          this.layoutRunner?.recordChains(chains);
+          this.layoutRunner?.recordChains(service, chains);
           const model = this.tableHolder.findService(service)?.model;
           const fields = {service, ...chainFields(model, chains)};
           this.logger.info('chains in use', fields);
--- a/packages/forwarding/test/plan_layout_test.ts
+++ b/packages/forwarding/test/plan_layout_test.ts
@@ -1,4 +1,5 @@
 import {describe, it} from 'node:test';
+import type {ServiceId} from '@azurecrank/core';
 import {
   LayersInUseTracker,
   countAddedLayers,
@@ -10,7 +11,7 @@
   type BackendServer,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {MODEL, emptyFleet, laidOutFleet} from './fleet_fixture.js';
+import {MODEL, SERVICE, emptyFleet, laidOutFleet} from './fleet_fixture.js';
 
 /** Plans and applies orders until there are none, as the lease holder does. */
 function settleLayout(servers: readonly BackendServer[]): BackendServer[] {
@@ -184,20 +185,32 @@
   // Guards against plans that are made again although nothing has changed.
   it('changes its revision with the chains and when earlier ones expire', () => {
     const tracker = new LayersInUseTracker();
-    tracker.setChains([chain], 0);
+    tracker.setChains(SERVICE, [chain], 0);
     const first = tracker.revision(3000);
     expect(tracker.revision(3500)).toEqual(first);
     const afterExpiry = tracker.revision(4500);
     expect(afterExpiry).toBeGreaterThan(first);
-    tracker.setChains([], 5000);
+    tracker.setChains(SERVICE, [], 5000);
     expect(tracker.revision(5000)).toBeGreaterThan(afterExpiry);
   });
 
   it('returns a chain for as long as its requests may run', () => {
     const tracker = new LayersInUseTracker();
-    tracker.setChains([chain], 0);
-    tracker.setChains([], 1000);
+    tracker.setChains(SERVICE, [chain], 0);
+    tracker.setChains(SERVICE, [], 1000);
     expect(tracker.get(4000).has(server)).toEqual(true);
     expect(tracker.get(6000).has(server)).toEqual(false);
   });
+
+  // Guards against plans that move layers under the requests of one model since
+  // another one has got other chains.
+  it('returns the chains of each service', () => {
+    const tracker = new LayersInUseTracker();
+    const other = 'other' as ServiceId;
+    tracker.setChains(SERVICE, [chain], 0);
+    tracker.setChains(other, [], 1000);
+    expect(tracker.get(6000).has(server)).toEqual(true);
+    tracker.setChains(SERVICE, [], 7000);
+    expect(tracker.get(12_000).has(server)).toEqual(false);
+  });
 });
