--- a/packages/forwarding/src/core/relay/stream_continuation.ts
+++ b/packages/forwarding/src/core/relay/stream_continuation.ts
@@ -23,11 +23,26 @@
   readonly service: ServiceId;
   readonly budget: SharedRetryBudget;
   readonly fleet: FleetView;
+  /** Time for which no server may get the prompt; 0 if it may be sent. */
+  readonly blockedForMs: () => number;
   readonly nowMs: () => number;
 }
 
 /** What keeps a waiting stream from continuing. */
-export type StreamLack = ChainLack | 'retry_budget';
+export type StreamLack =
+  | ChainLack
+  | 'retry_budget'
+  /** A part of its prompt is blamed for lost servers. */
+  | 'cleared_prompt'
+  /** Several servers broke it off before its next event. */
+  | 'next_attempt';
+
+/**
+ * Time before the next attempt, by the number of losses since the last event.
+ * Spreads the attempts over about the time that callers wait for an event:
+ * servers that fail for a moment would use up all of them.
+ */
+const ATTEMPT_DELAYS_MS = [0, 0, 200, 400, 800];
 
 export class StreamContinuation {
   /** Whether a server may have run the request. */
@@ -36,6 +51,9 @@
   /** Number of attempts that a server refused without running them. */
   private refusedAttempts = 0;
   private waitingSinceMs: number | undefined;
+  private lossesSinceEvent = 0;
+  /** Time before which the next attempt does not start. */
+  private nextAttemptAtMs = -Infinity;
   private readonly failedFirstServers = new Set<ServerAddress>();
   /** First servers that may have run the request. */
   private readonly mayHaveRunOn = new Set<ServerAddress>();
@@ -66,6 +84,10 @@
     this.mayHaveRunOn.add(first);
   }
 
+  recordEvent(): void {
+    this.lossesSinceEvent = 0;
+  }
+
   /**
    * Records that the request does not go on at this first server.
    * @param isRefusal whether the server refused it without running it
@@ -73,9 +95,17 @@
   recordFailure(first: ServerAddress, isRefusal: boolean): void {
     // A refused request has not run and does not count as an attempt.
     if (isRefusal) this.refusedAttempts++;
+    else this.delayNextAttempt();
     this.failedFirstServers.add(first);
   }
 
+  private delayNextAttempt(): void {
+    const last = ATTEMPT_DELAYS_MS.length - 1;
+    const delayMs = ATTEMPT_DELAYS_MS[Math.min(this.lossesSinceEvent, last)];
+    this.nextAttemptAtMs = this.options.nowMs() + delayMs;
+    this.lossesSinceEvent++;
+  }
+
   /** Forgets the failed servers: they may have recovered. */
   forgetFailures(): void {
     this.failedFirstServers.clear();
@@ -97,7 +127,7 @@
   /** Whether a started stream would go on at once if it left its server. */
   canContinueElsewhere(first: ServerAddress): boolean {
     if (this.decide(true).kind !== 'resume') return false;
-    if (this.availableRetries < 1) return false;
+    if (this.availableRetries < 1 || this.isBlocked) return false;
     const mayContinueOn = this.chainFilter();
     return this.admission.places.hasFreeTokensOn(
       this.request.costTokens,
@@ -127,7 +157,7 @@
       rank,
       costTokens,
       interruptedAtMs: lastEventAtMs,
-      mayContinueOn: first => this.chainFilter()(first),
+      mayContinueOn: first => this.mayAttempt && this.chainFilter()(first),
       isRestricted: () => this.isRestricted,
       availableRetries: () => this.availableRetries,
       resume: chain => {
@@ -150,6 +180,8 @@
   /** What keeps the stream from continuing; undefined if it does not wait. */
   get waitsFor(): StreamLack | undefined {
     if (!this.isWaiting) return undefined;
+    if (this.isBlocked) return 'cleared_prompt';
+    if (!this.mayAttempt) return 'next_attempt';
     if (this.availableRetries < 1) return 'retry_budget';
     return this.admission.places.lackOf(
       this.request.costTokens,
@@ -157,6 +189,14 @@
     );
   }
 
+  private get isBlocked(): boolean {
+    return this.options.blockedForMs() > 0;
+  }
+
+  private get mayAttempt(): boolean {
+    return !this.isBlocked && this.options.nowMs() >= this.nextAttemptAtMs;
+  }
+
   private get availableRetries(): number {
     const {budget, service, nowMs} = this.options;
     return budget.available(service, nowMs());
