Repeat idempotent calls at the only server that broke them off

Callers got a 502 for an idempotent call at once, with all of its time, attempts and retries left, when a server closed or reset its connection and the service had no other server to try.

Cause: a call never went to a server twice, not even for want of another one.

Change: such a call goes to that server again after 100 ms, on a new connection. It counts against the attempts of the route and the retry budget like a retry elsewhere. Responses that are not the call's own still are no reason to repeat it at the server that sent them.

--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -76,6 +76,9 @@
 /** Interval at which a call checks whether the trial after a hold has ended. */
 const TRIAL_CHECK_INTERVAL_MS = 40;
 
+/** Time after which a call goes again to a server that has broken it off. */
+const REPEAT_DELAY_MS = 100;
+
 /** Minimum retry delay reported to the caller when no server ran the call. */
 const RETRY_AFTER_MS = 100;
 
@@ -91,6 +94,8 @@
   private attempts = 0;
   private serversReached = 0;
   private mayHaveRun = false;
+  /** Whether the last attempt ended with its connection. */
+  private hasLostConnection = false;
   private isFinished = false;
   private lastResponse: BufferedResponse | undefined;
   private lastCause = '';
@@ -141,7 +146,9 @@
       return this.refuseWithoutServer(nowMs);
     }
     this.server = server;
+    const isRepeated = this.servers.wasTried(server);
     this.servers.recordAttempt(server, nowMs);
+    this.hasLostConnection = false;
     this.sentAtMs = nowMs;
     this.attempts++;
     const remainingMs = accepted.deadlineAtMs - nowMs;
@@ -163,7 +170,8 @@
       target: exchange.target,
       headers,
       body: accepted.body,
-      isSingleUse: accepted.route.kind === 'non_idempotent',
+      // An earlier connection may still bring a response to the same id.
+      isSingleUse: isRepeated || accepted.route.kind === 'non_idempotent',
     };
     this.sendAndBuffer(request, server);
     this.startAttemptTimer(remainingMs);
@@ -224,6 +232,7 @@
         else this.handleResponseOfUnknownLength(server, response);
       },
       onFailure: ({cause, mayHaveRun}) => {
+        this.hasLostConnection = mayHaveRun;
         this.failAttempt(mayHaveRun ? 'broken' : 'not_sent', cause);
       },
     });
@@ -322,9 +331,9 @@
     };
   }
 
-  /** Starts another attempt; returns false if no untried server is left. */
+  /** Starts another attempt; returns false if there is no server for it. */
   private retry(outcome: AttemptOutcome, nowMs: number): boolean {
-    const next = this.servers.select(nowMs);
+    const next = this.servers.select(nowMs) ?? this.selectAgain(nowMs);
     if (!next) return false;
     const {budget, metrics, logger} = this.options;
     if (outcome.kind !== 'not_sent') budget.tryAcquire(this.service, nowMs);
@@ -340,10 +349,21 @@
       attempt: this.attempts,
       next: next.address,
     });
-    this.startAttempt();
+    if (this.servers.wasTried(next))
+      this.timer = setTimeout(() => this.startAttempt(), REPEAT_DELAY_MS);
+    else this.startAttempt();
     return true;
   }
 
+  /** Selects the server that broke the call off, for want of another one. */
+  private selectAgain(nowMs: number): BackendServer | undefined {
+    const remainingMs = this.accepted.deadlineAtMs - nowMs;
+    if (!this.hasLostConnection || !this.server) return undefined;
+    if (remainingMs <= 2 * REPEAT_DELAY_MS) return undefined;
+    this.servers.allowAgain(this.server);
+    return this.servers.select(nowMs);
+  }
+
   private retryReason({kind}: AttemptOutcome): RetryReason {
     if (kind === 'not_sent') return 'connect_failed';
     const isLeaving = this.server && this.options.fleet.isLeaving(this.server);
--- a/packages/forwarding/src/core/relay/call_servers.ts
+++ b/packages/forwarding/src/core/relay/call_servers.ts
@@ -23,7 +23,9 @@
 }
 
 export class CallServers {
+  /** Servers that are not selected again. */
   private readonly tried = new Set<ServerAddress>();
+  private readonly triedBefore = new Set<ServerAddress>();
 
   constructor(
     private readonly service: ServiceId,
@@ -56,11 +58,22 @@
   recordAttempt(server: BackendServer, nowMs: number): void {
     const {limits, holds, balancer} = this.options;
     this.tried.add(server.address);
+    this.triedBefore.add(server.address);
     limits.recordSend(server.address, nowMs);
     holds.recordSend(server, nowMs);
     balancer.recordStart(server.address, nowMs);
   }
 
+  /** Whether the call has been sent to the server. */
+  wasTried({address}: BackendServer): boolean {
+    return this.triedBefore.has(address);
+  }
+
+  /** Lets a server be selected that was tried. */
+  allowAgain({address}: BackendServer): void {
+    this.tried.delete(address);
+  }
+
   /**
    * Time until an untried server takes requests again, if all of them are on
    * hold: 0 while only trials are awaited. Undefined if one is not on hold, or
