Order other stages in place of one that refuses

What callers saw: a stream whose server is lost was read again on another chain, though its first server was sound, and counted one more server against its route.

Cause: the refusing stage is named in the answer, but the first order was the only one.

Change: the stage that refused is no new stage of this stream, and up to two other orders follow before the path is left.

--- a/packages/forwarding/src/core/relay/replacement_paths.ts
+++ b/packages/forwarding/src/core/relay/replacement_paths.ts
@@ -17,6 +17,9 @@
 }
 
 export class ReplacementPaths {
+  /** Servers that have refused to be a new stage of the stream. */
+  private readonly refusing = new Set<ServerAddress>();
+
   /** @param costTokens KV-cache tokens that the stream uses on a chain */
   constructor(
     private readonly model: ModelSpec,
@@ -25,6 +28,11 @@
     private readonly options: ReplacementPathsOptions,
   ) {}
 
+  /** Records that a server refused to be a new stage of the stream. */
+  exclude(address: ServerAddress): void {
+    this.refusing.add(address);
+  }
+
   suspectedServers(path: ServerPath): ServerAddress[] {
     const {fleet} = this.options;
     return path
@@ -44,7 +52,8 @@
   /**
    * Finds a path with the same first stage and without suspected servers. It
    * stays within the availability zones of the current path, since its new
-   * stages process all tokens so far again. Servers on hold are no new stages.
+   * stages process all tokens so far again. Servers on hold and those that have
+   * refused are no new stages.
    * Returns undefined if there is none, or if it is overcommitted while another
    * chain has free capacity.
    */
@@ -59,7 +68,8 @@
       servers: fleet
         .usable(first.server.service)
         .filter(({availabilityZone}) => zones.has(availabilityZone))
-        .filter(s => onPath.has(s.address) || holds.maySend(s, now)),
+        .filter(s => onPath.has(s.address) || holds.maySend(s, now))
+        .filter(({address}) => !this.refusing.has(address)),
       current,
       firstStage: first,
     });
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -111,6 +111,12 @@
 
 const HTTP_OK = 200;
 
+/**
+ * Orders to replace the suspected servers of a path before it is left, if new
+ * stages refuse. Each takes one round trip.
+ */
+const MAX_REPLACEMENT_ORDERS = 3;
+
 const QUARANTINED_CAUSE = 'a part of the prompt ends servers';
 
 export class StreamRelay {
@@ -708,12 +714,18 @@
     if (fleet.isSuspected(first.server.address)) {
       return this.leaveSuspected('the first server does not answer');
     }
-    const path = this.replacements.find(this.path);
-    if (!path)
-      return this.leaveSuspected('no suitable replacement path in its zones');
-    const outcome = await this.migrateTo(path);
-    if (!outcome || outcome.kind === 'accepted') return;
-    this.leaveSuspected(`order to change the path failed: ${outcome.kind}`);
+    let cause = 'no suitable replacement path in its zones';
+    for (let order = 1; order <= MAX_REPLACEMENT_ORDERS; order++) {
+      const path = this.replacements.find(this.path);
+      if (!path) break;
+      const outcome = await this.migrateTo(path);
+      if (!outcome || outcome.kind === 'accepted') return;
+      cause = `order to change the path failed: ${outcome.kind}`;
+      const refusing = refusingStage(outcome, path);
+      if (!refusing) break;
+      this.replacements.exclude(refusing);
+    }
+    this.leaveSuspected(cause);
   }
 
   /**
@@ -831,3 +843,16 @@
     });
   }
 }
+
+/** Returns the later stage that refused to take part in a path, if it is named. */
+function refusingStage(
+  outcome: OrderOutcome,
+  path: ServerPath,
+): ServerAddress | undefined {
+  if (outcome.kind !== 'conflict') return undefined;
+  const {faultyAddress} = outcome;
+  const isLaterStage = path
+    .slice(1)
+    .some(({server}) => server.address === faultyAddress);
+  return isLaterStage ? faultyAddress : undefined;
+}
--- a/packages/forwarding/test/stream_relay_test.ts
+++ b/packages/forwarding/test/stream_relay_test.ts
@@ -127,6 +127,62 @@
       expect(await addressesOfNewPath(true)).not.toInclude(spareAddress);
     });
 
+    // Guards against leaving a sound first server since one of several possible
+    // new stages has no room (incident 10).
+    describe('and a new stage refuses', () => {
+      const refusing = '10.0.1.1:80';
+      const other = '10.0.1.2:80';
+
+      /** A stream with two spares for the lost server, the first one ordered. */
+      async function orderRefusingStage(spares: readonly string[]) {
+        const harness = new RelayHarness();
+        harness.receiveHead();
+        harness.receiveEvents(1, 2);
+        const lost = harness.fleet.findByAddress(harness.pathAddresses()[1]);
+        if (!lost) throw new Error('server is unknown');
+        for (const address of spares) {
+          const spare = {...lost, server: address as ServerId, address};
+          harness.fleet.put(spare, harness.nowMs);
+        }
+        harness.fleet.suspect(lost.address);
+        harness.relay.tick((harness.nowMs += 50));
+        await flushPromises();
+        return harness;
+      }
+
+      function lastOrdered({control}: RelayHarness): string[] {
+        return control.repaths.at(-1)?.map(({server}) => server.address) ?? [];
+      }
+
+      it('orders another one in its place', async () => {
+        const harness = await orderRefusingStage([refusing, other]);
+        const [refused] = lastOrdered(harness).filter(address =>
+          [refusing, other].includes(address),
+        );
+        harness.control.resolveRepath({
+          kind: 'conflict',
+          faultyAddress: refused,
+        });
+        await flushPromises();
+        expect(harness.control.repaths.length).toEqual(2);
+        expect(lastOrdered(harness)).not.toInclude(refused);
+        harness.control.resolveRepath({kind: 'accepted'});
+        await flushPromises();
+        expect(harness.upstream.sent.length).toEqual(1);
+      });
+
+      it('continues elsewhere if there is no other one', async () => {
+        const harness = await orderRefusingStage([refusing]);
+        for (let order = 0; order < 4; order++) {
+          const faultyAddress = lastOrdered(harness).at(1);
+          harness.control.resolveRepath({kind: 'conflict', faultyAddress});
+          await flushPromises();
+        }
+        expect(harness.control.repaths.length).toBeLessThanOrEqual(3);
+        expect(harness.upstream.sent.length).toEqual(2);
+      });
+    });
+
     it('continues elsewhere if the first server is lost during the migration', async () => {
       const harness = new RelayHarness();
       const lost = harness.pathAddresses()[3];
