Do not take streams for stalled while their callers do not read

Callers that read nothing for 1.3 s had their stream taken from a sound server and run a second time elsewhere, if other streams of that server had events.

Cause: the entry pauses the response of the server while its caller is behind, and then counted the missing events as a silence of the server. Such streams also counted as stalled in the probes of their path.

Change: a stream whose caller is behind is not checked for stalls, and the time without events begins anew once the caller has read. Suspicions of its servers, its time limit and lost connections still apply.

--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -129,6 +129,9 @@
   private longestPauseMs = 0;
   private repaths = 0;
   private isHeadSent = false;
+  /** Whether events wait until the caller has read earlier ones. */
+  private isCallerBehind = false;
+  private callerReadAtMs = 0;
   /** Media type of the head that was sent to the caller. */
   private mediaType = '';
   private isRepathing = false;
@@ -229,9 +232,10 @@
     const isSending =
       !this.isFinished &&
       !this.isRepathing &&
+      !this.isCallerBehind &&
       this.firstEventAtMs !== undefined;
     if (!isSending || this.path.length === 0) return undefined;
-    const sinceMs = Math.max(this.lastEventAtMs, this.pathSetAtMs);
+    const sinceMs = this.eventsAwaitedSinceMs;
     const eventAtMs = this.hasEventOnPath ? this.lastEventAtMs : undefined;
     return {path: this.path, sinceMs, eventAtMs};
   }
@@ -265,8 +269,9 @@
     if (shouldStopRun) return this.abandonServer(QUARANTINED_CAUSE);
     if (this.isRepathing) return;
     const awaitsFirstEvent = this.firstEventAtMs === undefined;
-    const silentMs = nowMs - Math.max(this.lastEventAtMs, this.pathSetAtMs);
+    const silentMs = nowMs - this.eventsAwaitedSinceMs;
     if (!this.isPathSound() && this.leaveUnsoundPath(nowMs)) return;
+    if (this.isCallerBehind) return;
     const {failureDetector} = this.options;
     const first = this.path[0].server.address;
     // If all streams of the server have stalled, the path is overloaded, and
@@ -465,7 +470,12 @@
     // Backpressure: pause the server while the caller reads slowly.
     const {upstream} = this;
     upstream?.pause();
-    res.once('drain', () => upstream?.resume());
+    this.isCallerBehind = true;
+    res.once('drain', () => {
+      upstream?.resume();
+      this.isCallerBehind = false;
+      this.callerReadAtMs = this.options.nowMs();
+    });
   }
 
   /**
@@ -787,6 +797,11 @@
     this.log('caller left', {waitsFor, ...this.waitFields()});
   }
 
+  /** Time since which the server could have sent an event. */
+  private get eventsAwaitedSinceMs(): number {
+    return Math.max(this.lastEventAtMs, this.pathSetAtMs, this.callerReadAtMs);
+  }
+
   private silentMs(): number {
     return Math.round(this.options.nowMs() - this.lastEventAtMs);
   }
