--- a/packages/forwarding/test/upstream_test.ts
+++ b/packages/forwarding/test/upstream_test.ts
@@ -151,4 +151,30 @@
       cause: expect.a(String),
     });
   });
+
+  // Guards against a new connection for each stream.
+  it('sends requests one after another on one connection', async () => {
+    let connections = 0;
+    const lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked'];
+    const head = [...lines, 'Keep-Alive: timeout=5', '', ''].join('\r\n');
+    behave = socket => {
+      connections++;
+      const respond = () => {
+        socket.write(head);
+        setTimeout(() => socket.write('5\r\nwhole\r\n0\r\n\r\n'), 5);
+      };
+      respond();
+      // The body of a request may arrive by itself.
+      socket.on('data', data => {
+        if (data.includes('POST ')) respond();
+      });
+    };
+    for (let i = 0; i < 5; i++) {
+      const outcome = await send(false);
+      expect(outcome).toEqual({kind: 'ended', status: 200, body: 'whole'});
+      // The connection is idle only after the step that ends the response.
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(connections).toEqual(1);
+  });
 });
