Put faults into the TCP forwarder's connections

Cause: the soak needs links that delay, cut one way, go silent, refuse and reset. The forwarder of the stand-ins could only stall, closed a connection as soon as one side had sent its end, and hid resets. Change: each direction of a forwarded connection runs through a gate, which can be held or delayed and keeps data, end and reset in order. The forwarder now passes on half-closes and resets; stalled connections are closed when it is disposed of.

--- a/packages/standins/src/forwarder/tcp_forwarder.ts
+++ b/packages/standins/src/forwarder/tcp_forwarder.ts
@@ -4,10 +4,13 @@
  * table behaves like this.
  */
 import {connect, createServer, type Server, type Socket} from 'node:net';
+import {ForwardedConnection} from './forwarded_connection.js';
 
 export class TcpForwarder implements Disposable {
   private server: Server | undefined;
-  private readonly socketPairs = new Set<[Socket, Socket]>();
+  private readonly connections = new Set<ForwardedConnection>();
+  /** Connections that were accepted while the forwarder was blocked. */
+  private readonly unforwarded = new Set<Socket>();
   private isBlocked = false;
   /** `IP:PORT` on which the forwarder listens, once it is started. */
   address = '';
@@ -23,9 +26,12 @@
   }
 
   async start(): Promise<this> {
-    const server = createServer(socket => this.forward(socket));
+    const server = createServer({allowHalfOpen: true}, socket =>
+      this.accept(socket),
+    );
     this.server = server;
-    await new Promise<void>(resolve => {
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
       server.listen(0, '127.0.0.1', resolve);
     });
     const bound = server.address();
@@ -35,16 +41,14 @@
     return this;
   }
 
+  /** Connections that pass data on, the oldest first. */
+  protected get openConnections(): ForwardedConnection[] {
+    return [...this.connections].filter(({isStalled}) => !isStalled);
+  }
+
   /** Stops passing data on the open connections without closing them. */
   stallOpenConnections(): void {
-    for (const pair of this.socketPairs) {
-      for (const socket of pair) {
-        socket.unpipe();
-        socket.removeAllListeners('data');
-        socket.pause();
-      }
-    }
-    this.socketPairs.clear();
+    for (const connection of this.openConnections) connection.stall();
   }
 
   /** While blocked, new connections are accepted but not forwarded. */
@@ -54,26 +58,30 @@
 
   [Symbol.dispose](): void {
     this.server?.close();
-    for (const pair of this.socketPairs)
-      for (const socket of pair) socket.destroy();
+    for (const connection of this.connections) connection[Symbol.dispose]();
+    for (const socket of this.unforwarded) socket.destroy();
   }
 
-  private forward(incoming: Socket): void {
-    incoming.on('error', () => incoming.destroy());
-    if (this.isBlocked) return;
-    const outgoing = connect(this.targetPort, this.targetHost);
-    const pair: [Socket, Socket] = [incoming, outgoing];
-    this.socketPairs.add(pair);
-    outgoing.on('error', () => outgoing.destroy());
-    for (const socket of pair) {
-      socket.setNoDelay(true);
-      socket.on('close', () => {
-        this.socketPairs.delete(pair);
-        incoming.destroy();
-        outgoing.destroy();
-      });
+  protected accept(incoming: Socket): void {
+    if (!this.isBlocked) {
+      this.forward(incoming);
+      return;
     }
-    incoming.pipe(outgoing);
-    outgoing.pipe(incoming);
+    this.unforwarded.add(incoming);
+    incoming.on('error', () => incoming.destroy());
+    incoming.on('close', () => this.unforwarded.delete(incoming));
+  }
+
+  protected forward(incoming: Socket): ForwardedConnection {
+    const outgoing = connect({
+      host: this.targetHost,
+      port: this.targetPort,
+      allowHalfOpen: true,
+    });
+    const connection = new ForwardedConnection(incoming, outgoing, () =>
+      this.connections.delete(connection),
+    );
+    this.connections.add(connection);
+    return connection;
   }
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,4 +7,6 @@
 export * from './hosts/host_list_standin.js';
 export * from './weights/weight_store_standin.js';
 export * from './service/plain_service_standin.js';
+export * from './forwarder/data_gate.js';
+export * from './forwarder/forwarded_connection.js';
 export * from './forwarder/tcp_forwarder.js';
