Refuse unknown keys on routes for anonymous callers

Cause: on a route that allows anonymous callers, a request with an unknown key was served as an anonymous one, so a revoked key went on working there.

Change: a request with a key needs a known one on every route.

Result: the new case of routing_test failed before the change (accepted) and passes with it: 9 passed, 0 failed.

--- a/packages/forwarding/src/core/gateway/accept_request.ts
+++ b/packages/forwarding/src/core/gateway/accept_request.ts
@@ -40,8 +40,8 @@
   const {workspaces} = view.table;
   const workspace =
     metadata.key === undefined ? undefined : workspaces?.get(metadata.key);
-  const requiresApiKey = workspaces !== undefined && !route.allowsAnonymous;
-  if (requiresApiKey && !workspace)
+  const isAnonymous = metadata.key === undefined && route.allowsAnonymous;
+  if (workspaces && !workspace && !isAnonymous)
     return createRefusal('unauthorized', 'accept');
   return {kind: 'accepted', route, workspace};
 }
--- a/packages/forwarding/test/routing_test.ts
+++ b/packages/forwarding/test/routing_test.ts
@@ -103,6 +103,12 @@
   it('requires no key on a route that allows anonymous callers', () => {
     expect(decide('/open/', {key: undefined})).toEqual('accepted');
   });
+
+  // A revoked key must not go on working, whatever the route.
+  it('refuses an unknown key on a route that allows anonymous callers', () => {
+    expect(decide('/open/', {key: 'other'})).toEqual('unauthorized');
+    expect(decide('/open/')).toEqual('accepted');
+  });
 });
 
 /** Guards against urgent routes being served least (incident 6). */
