Let an entry register another address than it listens on

Cause: an entry registered the address of its own listener, so that nothing could stand between it and other entries: neither address translation nor the proxies of the soak. Change: the optional setting peer_advertised_address is registered and is what the entry knows itself by in the plan of reports; it must be an IP address and a port, since others ignore registrations without. peerAddress is still the bound address, as with the other processes.

--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -118,8 +118,18 @@
     return this.exchange.isRelay;
   }
 
-  async listen(host: string, port: number): Promise<PeerAddress> {
-    const address = await this.peers.listen(host, port);
+  /** `IP:PORT` on which this entry listens. */
+  get boundAddress(): PeerAddress {
+    return this.peers.boundAddress;
+  }
+
+  /** Returns the address at which others connect, by default the bound one. */
+  async listen(
+    host: string,
+    port: number,
+    advertised?: string,
+  ): Promise<PeerAddress> {
+    const address = await this.peers.listen(host, port, advertised);
     this.applyPlan();
     return address;
   }
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -133,7 +133,6 @@
   /** Time at which a stopping process ends the requests that are left. */
   private drainEndsAtMs = Infinity;
   private isStopping = false;
-  private boundPeerAddress = '' as PeerAddress;
 
   constructor(
     private readonly settings: ForwardingSettings,
@@ -325,7 +324,7 @@
   }
 
   get peerAddress(): PeerAddress {
-    return this.boundPeerAddress;
+    return this.mesh.boundAddress;
   }
 
   async start(): Promise<number> {
@@ -337,8 +336,12 @@
       extraRetries,
       retryWindowS,
     });
-    const {peerHost, peerPort, metricsPort} = settings;
-    this.boundPeerAddress = await this.mesh.listen(peerHost, peerPort);
+    const {peerHost, peerPort, peerAdvertisedAddress, metricsPort} = settings;
+    const peerAddress = await this.mesh.listen(
+      peerHost,
+      peerPort,
+      peerAdvertisedAddress,
+    );
     await this.listenForCallers();
     await this.listenForReadinessChecks();
     const health = this.disposables.add(
@@ -347,7 +350,7 @@
     await health.listen(peerHost, metricsPort);
     this.mesh.setPeers(settings.seedPeers as PeerAddress[]);
     this.storeWatchers.start();
-    this.directory.start(this.boundPeerAddress);
+    this.directory.start(peerAddress);
     this.quarantineStore.start();
     this.startLayoutRunner();
     this.disposables.addInterval(() => this.processQueues(), QUEUE_INTERVAL_MS);
--- a/packages/forwarding/src/core/process/forwarding_settings.ts
+++ b/packages/forwarding/src/core/process/forwarding_settings.ts
@@ -1,4 +1,5 @@
 /** Schema of the settings of the forwarding entry, with defaults. */
+import {isIpSocketAddress} from '@azurecrank/core';
 import * as z from 'zod';
 
 const port = z.number().int().min(1).max(65535);
@@ -15,6 +16,11 @@
   /** IP address and TCP port on which other entries connect. */
   peerHost: z.string().min(1),
   peerPort: port,
+  /** `IP:PORT` at which other entries connect, if it is another one. */
+  peerAdvertisedAddress: z
+    .string()
+    .refine(isIpSocketAddress, 'not IP:PORT')
+    .optional(),
   /** Entries that serve the routing table while the store is unavailable. */
   seedPeers: z.array(address).default([]),
   /** `IP:PORT` of the platform's store. */
