--- a/packages/standins/src/forwarder/tcp_forwarder.ts
+++ b/packages/standins/src/forwarder/tcp_forwarder.ts
@@ -26,19 +26,37 @@
   }
 
   async start(): Promise<this> {
+    await this.listen(0);
+    return this;
+  }
+
+  /** Refuses new connections, as a host does where no process listens. */
+  stopListening(): void {
+    this.server?.close();
+    this.server = undefined;
+  }
+
+  /**
+   * Listens at the same address again.
+   * @throws Error with code `EADDRINUSE` if another process listens there now
+   */
+  async listenAgain(): Promise<void> {
+    if (!this.server) await this.listen(Number(this.address.split(':')[1]));
+  }
+
+  protected async listen(port: number): Promise<void> {
     const server = createServer({allowHalfOpen: true}, socket =>
       this.accept(socket),
     );
-    this.server = server;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(0, '127.0.0.1', resolve);
+      server.listen(port, '127.0.0.1', resolve);
     });
+    this.server = server;
     const bound = server.address();
     if (typeof bound === 'object' && bound) {
       this.address = `127.0.0.1:${bound.port}`;
     }
-    return this;
   }
 
   /** Connections that pass data on, the oldest first. */
