Show what becomes of streams on servers that are only silent

Operators of similar systems reported that a machine which was only silent or slow to report had its running work started again elsewhere, or given up.

Change: servers of the stream fleet can fall silent, or answer no query while their running streams go on; its entries use the same evidence of events as the program.

--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -16,6 +16,7 @@
 import {
   CallerExchange,
   ChainLoads,
+  EMPTY_STATE,
   FleetView,
   LeavingServers,
   ModelAdmission,
@@ -36,6 +37,7 @@
   type OrderOutcome,
   type RawHeaders,
   type ResponseMetadata,
+  type Route,
   type ServerAddress,
   type ServerReport,
   type UpstreamHandlers,
@@ -45,6 +47,12 @@
 import {RefusalSender} from 'azurecrank';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {LocalState} from '../src/core/peers/local_state.js';
+import {
+  findStalledPaths,
+  hasEventSince,
+  type StreamProgress,
+} from '../src/core/relay/stalled_paths.js';
 import {MODEL, SERVICE, laidOutFleet} from './fleet_fixture.js';
 import {
   FakeResponse,
@@ -104,6 +112,8 @@
   arrivals: number;
   /** Whether its first attempt brought an event. */
   hasBegunAtOnce: boolean;
+  /** What the caller receives. */
+  readonly response: FakeResponse;
 }
 
 interface Run extends Exchange {
@@ -132,12 +142,18 @@
   refusesUntilMs: number;
   /** Entries that it refuses; all if undefined. */
   refusedEntry: string | undefined;
+  /** Time until which it answers no query and begins no answer. */
+  unreportedUntilMs: number;
+  /** Time until which it sends nothing of its streams either. */
+  silentUntilMs: number;
 }
 
 export class StreamFleet {
   nowMs = 0;
   /** Number of entries that get requests; all if undefined. */
   callersAt: number | undefined;
+  /** Changes to the route of the requests that arrive. */
+  route: Partial<Route> = {};
   /** Whether entries hear of each other. */
   areEntriesConnected = true;
   /** Times at which a server ended because of a prompt. */
@@ -162,6 +178,8 @@
         arrivals: [],
         refusesUntilMs: 0,
         refusedEntry: undefined,
+        unreportedUntilMs: 0,
+        silentUntilMs: 0,
       });
     }
     this.entries = Array.from(
@@ -219,6 +237,27 @@
     state.refusedEntry = entry;
   }
 
+  /**
+   * Makes a server answer no query and begin no answer for a time; its running
+   * streams go on.
+   */
+  delayReports(address: ServerAddress, durationMs: number): void {
+    const state = this.servers.get(address);
+    if (state) state.unreportedUntilMs = this.nowMs + durationMs;
+  }
+
+  /** Makes a server send nothing for a time; its streams go on afterwards. */
+  silence(address: ServerAddress, durationMs: number): void {
+    const state = this.servers.get(address);
+    if (!state) return;
+    this.delayReports(address, durationMs);
+    state.silentUntilMs = this.nowMs + durationMs;
+  }
+
+  answersQueries(address: ServerAddress): boolean {
+    return this.nowMs >= (this.servers.get(address)?.unreportedUntilMs ?? 0);
+  }
+
   firstServers(): ServerAddress[] {
     return this.entries[0].admission
       .currentChains()
@@ -318,9 +357,8 @@
     state.runs.add(run);
     this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
       if (run.isOver) return;
-      const idHeader = [REQUEST_ID_HEADER, run.request.id];
-      run.handlers.onHead(200, [...state.headers, ...idHeader]);
       if (!crashes) return this.sendEvent(state, run, 1);
+      this.sendHead(state, run);
       const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
       this.after(delayMs, () => {
         if (run.isOver) return;
@@ -330,6 +368,11 @@
     });
   }
 
+  private sendHead(state: ServerState, run: Run): void {
+    const idHeader = [REQUEST_ID_HEADER, run.request.id];
+    run.handlers.onHead(200, [...state.headers, ...idHeader]);
+  }
+
   private pauseFor(state: ServerState, entry: string): number | undefined {
     const {refusesUntilMs, refusedEntry} = state;
     const isRefused = refusedEntry === undefined || refusedEntry === entry;
@@ -339,6 +382,12 @@
 
   private sendEvent(state: ServerState, run: Run, number: number): void {
     if (run.isOver) return;
+    const silentUntilMs =
+      number === 1 ? state.unreportedUntilMs : state.silentUntilMs;
+    const silentMs = silentUntilMs - this.nowMs;
+    if (silentMs > 0)
+      return this.after(silentMs, () => this.sendEvent(state, run, number));
+    if (number === 1) this.sendHead(state, run);
     if (run.request.arrivals === 1) run.request.hasBegunAtOnce = true;
     run.handlers.onData(Buffer.from(`id: ${number}\ndata: t\n\n`));
     if (number < EVENTS) {
@@ -386,6 +435,7 @@
       sentAtMs: this.nowMs,
       arrivals: 0,
       hasBegunAtOnce: false,
+      response: new FakeResponse(),
     };
     this.requests.push(request);
     const callers = this.callersAt ?? this.entries.length;
@@ -457,7 +507,11 @@
     super();
   }
 
-  override async fetchReport(address: ServerAddress): Promise<ServerReport> {
+  override async fetchReport(
+    address: ServerAddress,
+    timeoutMs: number,
+  ): Promise<ServerReport> {
+    await this.awaitAnswer(address, timeoutMs);
     if (!this.simulation.isUp(address)) {
       throw new Error('ECONNREFUSED: connect ECONNREFUSED');
     }
@@ -476,7 +530,14 @@
 
   override async checkHealth(
     address: ServerAddress,
+    _path: string,
+    timeoutMs: number,
   ): Promise<HealthCheckResult> {
+    try {
+      await this.awaitAnswer(address, timeoutMs);
+    } catch {
+      return 'silent';
+    }
     return this.simulation.isUp(address) ? 'healthy' : 'silent';
   }
 
@@ -487,6 +548,17 @@
   override async repath(): Promise<OrderOutcome> {
     return {kind: 'missing'};
   }
+
+  /** Throws after the time-out if the server is silent. */
+  private async awaitAnswer(
+    address: ServerAddress,
+    timeoutMs: number,
+  ): Promise<void> {
+    const {simulation} = this;
+    if (simulation.answersQueries(address)) return;
+    await new Promise<void>(resolve => simulation.after(timeoutMs, resolve));
+    throw new Error(`no response within ${timeoutMs} ms`);
+  }
 }
 
 /** Sends the requests of an entry to the simulated servers. */
@@ -527,6 +599,7 @@
   private readonly upstream: SimulatedUpstream;
   private readonly leavingServers: LeavingServers;
   private readonly failureDetector: PathFailureDetector;
+  private readonly localState: LocalState;
   private readonly metrics = new Metrics();
   private readonly logger = new Logger('test', 'silent');
   private readonly control: SimulatedControl;
@@ -565,6 +638,23 @@
       logger: this.logger,
       onServerLost: () => this.reportSoon(),
     });
+    const hasRecentEvent = (address: ServerAddress, sinceMs: number) =>
+      hasEventSince(this.streamProgress(), address, sinceMs);
+    this.localState = new LocalState({
+      loads: this.loads,
+      retryBudget: this.budget,
+      quarantine: this.quarantine,
+      limits: this.limits,
+      fleet: this.fleet,
+      logger: this.logger,
+      nowMs,
+      peerQueues: this.peerQueues,
+      queues: () => [this.admission.queues()],
+      hasEventSince: hasRecentEvent,
+      onServerLost: () => {},
+      layoutFence: () => 0,
+      onLayoutFence: () => {},
+    });
     this.failureDetector = new PathFailureDetector({
       control: this.control,
       fleet: this.fleet,
@@ -574,7 +664,7 @@
       nowMs,
       wasPaused: () => false,
       healthPathOf: () => '/health',
-      hasEventSince: () => false,
+      hasEventSince: hasRecentEvent,
       onServerLost: () => {},
     });
   }
@@ -584,7 +674,8 @@
     const {nowMs} = simulation;
     this.upstream.requests.set(request.id, request);
     const exchange = this.createExchange(request);
-    const accepted = acceptedRequest(ROUTE, nowMs + REQUEST_TIMEOUT_MS);
+    const route = {...ROUTE, ...simulation.route};
+    const accepted = acceptedRequest(route, nowMs + REQUEST_TIMEOUT_MS);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
       request: request.id,
@@ -623,6 +714,9 @@
   }
 
   checkStreams(): void {
+    const {nowMs} = this.simulation;
+    for (const path of findStalledPaths(this.streamProgress(), nowMs))
+      this.failureDetector.probePath(path);
     for (const stream of [...this.streams]) stream.tick(this.simulation.nowMs);
   }
 
@@ -661,9 +755,11 @@
     this.peerQueues.setQueues(node, [queues], nowMs);
     this.quarantine.applyPeerReport(quarantine, nowMs);
     this.limits.setPeerReport(node, limits, nowMs);
-    for (const address of suspected) {
-      this.fleet.suspectFromPeer(address, nowMs);
-    }
+    this.localState.apply({...EMPTY_STATE, suspected}, 'news');
+  }
+
+  private streamProgress(): StreamProgress[] {
+    return [...this.streams].flatMap(({progress}) => progress ?? []);
   }
 
   /** Ends the process with all its requests. */
@@ -674,7 +770,11 @@
     }
   }
 
-  private createExchange({id, parts}: SimulatedRequest): CallerExchange {
+  private createExchange({
+    id,
+    parts,
+    response,
+  }: SimulatedRequest): CallerExchange {
     const req = {
       rawHeaders: ['request', id],
       method: 'POST',
@@ -683,7 +783,7 @@
     };
     return new CallerExchange(
       req as unknown as IncomingMessage,
-      new FakeResponse() as unknown as ServerResponse,
+      response as unknown as ServerResponse,
       {
         request: id,
         deadlineMs: REQUEST_TIMEOUT_MS,
