Do not reset sockets that are being shut down

Two test files that use the forwarder had run into their time limit after their tests had passed.

Suspected cause: a reset of a socket whose shutdown has begun is refused, and its handle is never closed. The forwarder resets a side whenever the other one fails, also after it has passed on the end of the data. Such a socket is now destroyed in place of reset.

A program of a few lines with a reset behind an end did not hang, so the cause is not proved.

--- a/packages/standins/src/forwarder/forwarded_connection.ts
+++ b/packages/standins/src/forwarder/forwarded_connection.ts
@@ -31,8 +31,8 @@
 
   /** Resets both sockets. */
   reset(): void {
-    this.incoming.resetAndDestroy();
-    this.outgoing.resetAndDestroy();
+    resetSocket(this.incoming);
+    resetSocket(this.outgoing);
   }
 
   [Symbol.dispose](): void {
@@ -50,10 +50,19 @@
   ): void {
     source.setNoDelay(true);
     // The other side learns of the error as a reset, once it gets that far.
-    source.on('error', () => gate.enqueue(() => sink.resetAndDestroy()));
+    source.on('error', () => gate.enqueue(() => resetSocket(sink)));
     source.on('close', () => {
       if (sink.closed) onClose();
     });
     source.pipe(gate).pipe(sink);
   }
 }
+
+/**
+ * Resets a socket. One that is being shut down cannot be reset: its handle would
+ * stay open for ever, and the process could not end.
+ */
+export function resetSocket(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
