--- a/packages/forwarding/src/core/gateway/caller_exchange.ts
+++ b/packages/forwarding/src/core/gateway/caller_exchange.ts
@@ -2,6 +2,13 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {LogFields, Rank, RequestId, WorkspaceId} from '@azurecrank/core';
 import type {CallerMetadata} from '../adapter/platform_adapter.js';
+import {
+  digestOf,
+  scopeOf,
+  type DigestedRequest,
+  type RequestDigest,
+  type RequestScope,
+} from '../quarantine/request_digest.js';
 import type {Route, RoutingTable} from '../routing/routing_table.js';
 
 export interface AcceptedRequest {
@@ -22,6 +29,9 @@
 export class CallerExchange {
   readonly request: RequestId;
   accepted: AcceptedRequest | undefined;
+  private knownDigest: RequestDigest | undefined;
+  private knownScope: RequestScope | undefined;
+  private hasLostServer = false;
 
   constructor(
     readonly req: IncomingMessage,
@@ -40,6 +50,29 @@
     return this.req.method ?? 'GET';
   }
 
+  /** Computed when it is first asked for, once the body has been read. */
+  get digest(): RequestDigest {
+    this.knownDigest ??= digestOf(this.digested);
+    return this.knownDigest;
+  }
+
+  /** As `digest`, at a cost that does not depend on the body. */
+  get scope(): RequestScope {
+    this.knownScope ??= scopeOf(this.digested);
+    return this.knownScope;
+  }
+
+  private get digested(): DigestedRequest {
+    const {req, method, target, accepted} = this;
+    return {
+      workspace: accepted?.workspace,
+      method,
+      host: req.headers?.host ?? '',
+      target,
+      body: accepted?.body,
+    };
+  }
+
   /** Whether the caller closed the connection before the response ended. */
   get isDisconnected(): boolean {
     const {req, res} = this;
@@ -47,10 +80,17 @@
     return isClosing && !res.writableFinished;
   }
 
+  /** Records that a server was lost with the request. */
+  recordLoss(): void {
+    this.hasLostServer = true;
+  }
+
+  /** Has the digest of a request with which a server was lost. */
   logFields(): LogFields {
     const {request, accepted} = this;
     return {
       request,
+      ...(this.hasLostServer && {digest: this.digest}),
       workspace: accepted?.workspace,
       route: accepted?.route.name,
       priority: accepted?.priority,
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -300,6 +300,7 @@
     this.releaseBody();
     this.lastCause = cause;
     if (kind !== 'not_sent') this.serversReached++;
+    if (kind === 'broken' || kind === 'slow') this.exchange.recordLoss();
     this.recordOutcome({kind});
     this.handleOutcome({kind});
   }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -560,6 +560,7 @@
       return this.continueOrEnd(first, false);
     }
     this.continuation.recordRun(first);
+    this.exchange.recordLoss();
     if (!this.promptGuard.mayHaveCausedLoss)
       return this.continueOrEnd(first, false);
     // The request may have ended the server and would end the next one too.
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -59,6 +59,7 @@
 export * from './core/quarantine/crash_evidence.js';
 export * from './core/quarantine/prompt_quarantine.js';
 export * from './core/quarantine/quarantine_store.js';
+export * from './core/quarantine/request_digest.js';
 export * from './core/relay/prompt_guard.js';
 export * from './core/retry/shared_retry_budget.js';
 export * from './core/retry/window_counter.js';
