Name the quarantine for requests as well as prompt parts

It is to keep whole requests from servers too, with the same evidence, trials, reports and stored blocks.

--- a/packages/forwarding/src/core/peers/entry_state.ts
+++ b/packages/forwarding/src/core/peers/entry_state.ts
@@ -15,7 +15,7 @@
 import type {
   QuarantineReport,
   SuspectReport,
-} from '../quarantine/prompt_quarantine.js';
+} from '../quarantine/request_quarantine.js';
 import type {RetryCounts} from '../retry/shared_retry_budget.js';
 
 export interface EntryState {
--- a/packages/forwarding/src/core/peers/local_state.ts
+++ b/packages/forwarding/src/core/peers/local_state.ts
@@ -8,7 +8,7 @@
 import type {ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
-import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {EntryState} from './entry_state.js';
 import type {StateScope} from './report_exchange.js';
@@ -16,7 +16,7 @@
 export interface LocalStateOptions {
   readonly loads: ChainLoads;
   readonly retryBudget: SharedRetryBudget;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly limits: SharedServerLimits;
   readonly fleet: FleetView;
   readonly logger: Logger;
--- a/packages/forwarding/src/core/peers/report_codec.ts
+++ b/packages/forwarding/src/core/peers/report_codec.ts
@@ -8,11 +8,11 @@
 import type {ServiceQueues} from '../admission/peer_queues.js';
 import type {HeldLayers} from '../fleet/fleet_view.js';
 import type {ServerLimitReport} from '../limits/shared_server_limits.js';
-import type {CrashId, PromptPartKey} from '../quarantine/crash_evidence.js';
+import type {CrashId, SuspectKey} from '../quarantine/crash_evidence.js';
 import type {
   QuarantineReport,
   SuspectReport,
-} from '../quarantine/prompt_quarantine.js';
+} from '../quarantine/request_quarantine.js';
 import type {EntryState} from './entry_state.js';
 
 export function toReport(
@@ -146,7 +146,7 @@
 }: EntryReport): QuarantineReport {
   return {
     suspects: suspectParts.map(([key, depth, crashes, trialLeftMs]) => ({
-      key: key as PromptPartKey,
+      key: key as SuspectKey,
       depth,
       crashes: crashes as ReadonlyArray<readonly [CrashId, number]>,
       trialLeftMs,
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -44,9 +44,9 @@
 import {ServerHolds} from '../limits/server_holds.js';
 import {SharedServerLimits} from '../limits/shared_server_limits.js';
 import {
-  PromptQuarantine,
+  RequestQuarantine,
   type QuarantineChange,
-} from '../quarantine/prompt_quarantine.js';
+} from '../quarantine/request_quarantine.js';
 import {QuarantineStore} from '../quarantine/quarantine_store.js';
 import {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {RoutingTable} from '../routing/routing_table.js';
@@ -127,7 +127,7 @@
   private readonly mesh: EntryMesh;
   private readonly prefixes: RelayedPrefixStore;
   private readonly retryBudget: SharedRetryBudget;
-  private readonly quarantine = new PromptQuarantine(change =>
+  private readonly quarantine = new RequestQuarantine(change =>
     this.handleQuarantineChange(change),
   );
   private readonly quarantineStore: QuarantineStore;
--- a/packages/forwarding/src/core/quarantine/blame_parts.ts
+++ b/packages/forwarding/src/core/quarantine/blame_suspects.ts
@@ -3,11 +3,11 @@
  * requests along when it ends, so most parts that are seen in a crash are those
  * of neighbours. Pure.
  */
-import type {CrashId, PromptPartKey, SuspectPart} from './crash_evidence.js';
+import type {CrashId, SuspectKey, Suspect} from './crash_evidence.js';
 
 /** A part that is blamed for crashes. */
-export interface BlamedPart {
-  readonly key: PromptPartKey;
+export interface BlamedSuspect {
+  readonly key: SuspectKey;
   /** Number of independent crashes beyond those for which it is blamed. */
   readonly excessCrashes: number;
   readonly lastCrashAtMs: number;
@@ -39,15 +39,15 @@
  * beginning with the part that was seen in most of them. Of several such parts
  * the last in the prompt is blamed, as fewer sound requests share it.
  */
-export function blameParts(
-  suspects: Iterable<SuspectPart>,
+export function blameSuspects(
+  suspects: Iterable<Suspect>,
   nowMs: number,
-): BlamedPart[] {
+): BlamedSuspect[] {
   let candidates = [...suspects].map(part => {
     const crashes = settledCrashes(part, nowMs);
     return {part, crashes, unexplained: crashes};
   });
-  const blamed: BlamedPart[] = [];
+  const blamed: BlamedSuspect[] = [];
   for (;;) {
     candidates = candidates.filter(isBlamable);
     const most = Math.max(...candidates.map(c => c.unexplained.length));
@@ -67,7 +67,7 @@
 }
 
 interface Candidate {
-  readonly part: SuspectPart;
+  readonly part: Suspect;
   readonly crashes: readonly Crash[];
   readonly unexplained: readonly Crash[];
 }
@@ -78,7 +78,7 @@
     : unexplained.length >= MIN_CRASHES;
 }
 
-function toBlamedPart({part, crashes}: Candidate): BlamedPart {
+function toBlamedPart({part, crashes}: Candidate): BlamedSuspect {
   const minIndependent = part.wasAnswered ? MIN_CRASHES_AFTER_ANSWERS : 1;
   return {
     key: part.key,
@@ -92,7 +92,7 @@
   readonly atMs: number;
 }
 
-function settledCrashes({crashAtMs}: SuspectPart, nowMs: number): Crash[] {
+function settledCrashes({crashAtMs}: Suspect, nowMs: number): Crash[] {
   return [...crashAtMs]
     .map(([crash, atMs]) => ({crash, atMs}))
     .filter(({atMs}) => nowMs - atMs >= CRASH_SETTLE_MS)
--- a/packages/forwarding/src/core/quarantine/crash_evidence.ts
+++ b/packages/forwarding/src/core/quarantine/crash_evidence.ts
@@ -8,7 +8,7 @@
 import type {BackendServer} from '../fleet/backend_server.js';
 
 /** A part of the prompts of one service. */
-export type PromptPartKey = Branded<string, 'PromptPartKey'>;
+export type SuspectKey = Branded<string, 'SuspectKey'>;
 
 /** The end of one incarnation of a server. */
 export type CrashId = Branded<string, 'CrashId'>;
@@ -16,8 +16,8 @@
 export function promptPartKey(
   service: ServiceId,
   part: PromptPartId,
-): PromptPartKey {
-  return `${service}/${part}` as PromptPartKey;
+): SuspectKey {
+  return `${service}/${part}` as SuspectKey;
 }
 
 export function crashIdOf({server, startedAtMs}: BackendServer): CrashId {
@@ -25,8 +25,8 @@
 }
 
 /** A part that was in the prompt of a request that had just begun in a crash. */
-export interface SuspectPart {
-  readonly key: PromptPartKey;
+export interface Suspect {
+  readonly key: SuspectKey;
   /** Place of the part in the prompt; later parts are shared by fewer requests. */
   readonly depth: number;
   /** Times of the crashes since the last answer. */
@@ -62,8 +62,8 @@
 const EVIDENCE_TTL_MS = 20 * 60_000;
 
 export class CrashEvidence {
-  private readonly suspects = new Map<PromptPartKey, SuspectPart>();
-  private readonly answers = new Map<PromptPartKey, Answer>();
+  private readonly suspects = new Map<SuspectKey, Suspect>();
+  private readonly answers = new Map<SuspectKey, Answer>();
   private changeCount = 0;
   private lastLearnedAtMs = -Infinity;
 
@@ -77,27 +77,27 @@
     return this.changeCount;
   }
 
-  get suspectParts(): Iterable<SuspectPart> {
+  get suspectParts(): Iterable<Suspect> {
     return this.suspects.values();
   }
 
-  suspect(key: PromptPartKey): SuspectPart | undefined {
+  suspect(key: SuspectKey): Suspect | undefined {
     return this.suspects.get(key);
   }
 
   /** Records that an answer on a prompt with these parts goes on. */
-  recordAnswer(keys: readonly PromptPartKey[], nowMs: number): void {
+  recordAnswer(keys: readonly SuspectKey[], nowMs: number): void {
     for (const key of keys) this.setAnswer(key, {atMs: nowMs, isOwn: true});
   }
 
   /** Applies an answer that a peer saw. */
-  recordPeerAnswer(key: PromptPartKey, atMs: number): void {
+  recordPeerAnswer(key: SuspectKey, atMs: number): void {
     if ((this.answers.get(key)?.atMs ?? -Infinity) >= atMs) return;
     this.setAnswer(key, {atMs, isOwn: false});
   }
 
   /** Time of the last answer that this entry itself saw. */
-  ownAnswerAtMs(key: PromptPartKey): number | undefined {
+  ownAnswerAtMs(key: SuspectKey): number | undefined {
     const answer = this.answers.get(key);
     return answer?.isOwn ? answer.atMs : undefined;
   }
@@ -108,7 +108,7 @@
    * @returns whether this is new evidence
    */
   recordCrash(
-    key: PromptPartKey,
+    key: SuspectKey,
     depth: number,
     {crash, atMs, isOwn}: ObservedCrash,
     nowMs: number,
@@ -146,7 +146,7 @@
     }
   }
 
-  private setAnswer(key: PromptPartKey, answer: Answer): void {
+  private setAnswer(key: SuspectKey, answer: Answer): void {
     this.answers.delete(key);
     this.answers.set(key, answer);
     dropOldest(this.answers, MAX_ANSWERED_PARTS);
--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -6,8 +6,8 @@
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
 import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
-import type {PromptPartKey} from './crash_evidence.js';
-import type {PromptQuarantine} from './prompt_quarantine.js';
+import type {SuspectKey} from './crash_evidence.js';
+import type {RequestQuarantine} from './request_quarantine.js';
 
 const BLOCKS_PREFIX = `${ENTRY_STORE_PREFIX}quarantine/`;
 
@@ -29,7 +29,7 @@
 
 export interface QuarantineStoreOptions {
   readonly keyValue: KeyValueService;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Number of entries that may write the same block. */
@@ -44,13 +44,13 @@
 
 export class QuarantineStore implements Disposable {
   /** Blocks that the store lists. */
-  private readonly stored = new Map<PromptPartKey, StoredBlock>();
+  private readonly stored = new Map<SuspectKey, StoredBlock>();
   /** Blocks that were removed; a restore of the store may bring them back. */
-  private readonly removed = new Map<PromptPartKey, StoredBlock>();
+  private readonly removed = new Map<SuspectKey, StoredBlock>();
   /** Blocks that a restore of the store has lost; they are written again. */
-  private readonly lost = new Map<PromptPartKey, number>();
+  private readonly lost = new Map<SuspectKey, number>();
   /** Blocks to be written, with the time at which it is this entry's turn. */
-  private readonly dueAtMs = new Map<PromptPartKey, number>();
+  private readonly dueAtMs = new Map<SuspectKey, number>();
   private readonly unreadable: UnreadableEntries;
   private timer: NodeJS.Timeout | undefined;
 
@@ -104,7 +104,7 @@
     this.unreadable.clear(key);
   }
 
-  private recordRemoval(part: PromptPartKey): void {
+  private recordRemoval(part: SuspectKey): void {
     const block = this.stored.get(part);
     if (block) this.removed.set(part, block);
     this.stored.delete(part);
@@ -127,7 +127,7 @@
   }
 
   /** Removes the block of a part that a server has answered. */
-  removeBlock(part: PromptPartKey): void {
+  removeBlock(part: SuspectKey): void {
     this.lost.delete(part);
     if (!this.stored.has(part)) return;
     const {keyValue, logger} = this.options;
@@ -167,7 +167,7 @@
     }
   }
 
-  private async writeBlock(part: PromptPartKey, leftMs: number): Promise<void> {
+  private async writeBlock(part: SuspectKey, leftMs: number): Promise<void> {
     const {keyValue, logger} = this.options;
     const ttlMs = Math.min(
       MAX_LEASE_TTL_MS,
@@ -196,14 +196,14 @@
   }
 }
 
-function keyOf(part: PromptPartKey): string {
+function keyOf(part: SuspectKey): string {
   return BLOCKS_PREFIX + encodeURIComponent(part);
 }
 
 /** Returns undefined for a key that `keyOf` does not return. */
-function partOf(key: string): PromptPartKey | undefined {
+function partOf(key: string): SuspectKey | undefined {
   try {
-    return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as PromptPartKey;
+    return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as SuspectKey;
   } catch {
     // The only error is an invalid escape sequence; the caller logs the key.
     return undefined;
--- a/packages/forwarding/src/core/quarantine/prompt_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/request_quarantine.ts
@@ -4,23 +4,27 @@
  * entries: they report crashes, answers and trials to each other. Pure; times
  * are arguments.
  */
-import {blameParts, CRASH_SETTLE_MS, type BlamedPart} from './blame_parts.js';
+import {
+  blameSuspects,
+  CRASH_SETTLE_MS,
+  type BlamedSuspect,
+} from './blame_suspects.js';
 import {
   CrashEvidence,
   type CrashId,
-  type PromptPartKey,
-  type SuspectPart,
+  type SuspectKey,
+  type Suspect,
 } from './crash_evidence.js';
 
 /** Evidence for the other entries; ages are in milliseconds. */
 export interface QuarantineReport {
   readonly suspects: readonly SuspectReport[];
   /** Parts that others suspect, with the age of the last answer seen here. */
-  readonly answered: ReadonlyArray<readonly [PromptPartKey, number]>;
+  readonly answered: ReadonlyArray<readonly [SuspectKey, number]>;
 }
 
 export interface SuspectReport {
-  readonly key: PromptPartKey;
+  readonly key: SuspectKey;
   readonly depth: number;
   readonly crashes: ReadonlyArray<readonly [CrashId, number]>;
   /** Time that a trial of the reporting entry may still take; 0 without one. */
@@ -29,9 +33,9 @@
 
 export type QuarantineChange =
   | {readonly kind: 'evidence'}
-  | {readonly kind: 'trial'; readonly key: PromptPartKey}
-  | {readonly kind: 'blamed'; readonly part: BlamedPart}
-  | {readonly kind: 'cleared'; readonly key: PromptPartKey};
+  | {readonly kind: 'trial'; readonly key: SuspectKey}
+  | {readonly kind: 'blamed'; readonly part: BlamedSuspect}
+  | {readonly kind: 'cleared'; readonly key: SuspectKey};
 
 /** Whether a request may start on a server, and how. */
 export type StartDecision = 'free' | 'trial' | 'blocked';
@@ -68,15 +72,15 @@
   readonly isOwn: boolean;
 }
 
-export class PromptQuarantine {
+export class RequestQuarantine {
   private readonly evidence = new CrashEvidence();
-  private readonly trials = new Map<PromptPartKey, Trial>();
+  private readonly trials = new Map<SuspectKey, Trial>();
   /** Parts that the store lists as blocked, with the end of the block. */
-  private storedBlocks: ReadonlyMap<PromptPartKey, number> = new Map();
+  private storedBlocks: ReadonlyMap<SuspectKey, number> = new Map();
   /** When each part was last suspected. */
-  private readonly contestedAtMs = new Map<PromptPartKey, number>();
+  private readonly contestedAtMs = new Map<SuspectKey, number>();
   private blamedReportedAtMs = -Infinity;
-  private blamed = new Map<PromptPartKey, BlamedPart>();
+  private blamed = new Map<SuspectKey, BlamedSuspect>();
   private blamedRevision = -1;
   private blamedAtMs = -Infinity;
   private expiredAtMs = 0;
@@ -85,7 +89,7 @@
   constructor(private readonly onChange: (change: QuarantineChange) => void) {}
 
   /** Time until a request with these parts may start; 0 if it may at once. */
-  blockedForMs(keys: readonly PromptPartKey[], nowMs: number): number {
+  blockedForMs(keys: readonly SuspectKey[], nowMs: number): number {
     const blamed = this.currentlyBlamed(nowMs);
     if (blamed.size === 0 && this.storedBlocks.size === 0) return 0;
     const untilMs = keys.map(key => this.blockedUntilMs(key, blamed));
@@ -93,7 +97,7 @@
   }
 
   /** Decides on a start; a request with a blamed part starts as its trial. */
-  tryStart(keys: readonly PromptPartKey[], nowMs: number): StartDecision {
+  tryStart(keys: readonly SuspectKey[], nowMs: number): StartDecision {
     if (this.blockedForMs(keys, nowMs) > 0) return 'blocked';
     const blamed = this.currentlyBlamed(nowMs);
     const onTrial = keys.filter(key => blamed.has(key));
@@ -105,14 +109,14 @@
   }
 
   /** Ends a trial of this entry that had no outcome. */
-  endTrial(keys: readonly PromptPartKey[]): void {
+  endTrial(keys: readonly SuspectKey[]): void {
     for (const key of keys) {
       if (this.trials.get(key)?.isOwn) this.trials.delete(key);
     }
   }
 
   /** Records that a server goes on with the answer to these parts. */
-  recordAnswer(keys: readonly PromptPartKey[], nowMs: number): void {
+  recordAnswer(keys: readonly SuspectKey[], nowMs: number): void {
     const cleared = keys.filter(
       key => this.blamed.has(key) || this.storedBlocks.has(key),
     );
@@ -128,7 +132,7 @@
    * parts, which are in their order.
    */
   recordCrash(
-    keys: readonly PromptPartKey[],
+    keys: readonly SuspectKey[],
     crash: CrashId,
     nowMs: number,
   ): void {
@@ -182,17 +186,17 @@
   }
 
   /** Replaces the blocks that the store lists, with the end of each. */
-  setStoredBlocks(blocks: ReadonlyMap<PromptPartKey, number>): void {
+  setStoredBlocks(blocks: ReadonlyMap<SuspectKey, number>): void {
     this.storedBlocks = blocks;
   }
 
   /** Parts whose block outlives this process, with the end of each block. */
-  longBlocks(nowMs: number): ReadonlyMap<PromptPartKey, number> {
+  longBlocks(nowMs: number): ReadonlyMap<SuspectKey, number> {
     const longest = TRIAL_PAUSES_MS.length - 1;
     return new Map(
       [...this.currentlyBlamed(nowMs).values()]
         .filter(({excessCrashes}) => excessCrashes >= longest)
-        .map(({key, lastCrashAtMs}): [PromptPartKey, number] => [
+        .map(({key, lastCrashAtMs}): [SuspectKey, number] => [
           key,
           lastCrashAtMs + TRIAL_PAUSES_MS[longest],
         ])
@@ -200,15 +204,15 @@
     );
   }
 
-  private markContested(key: PromptPartKey, nowMs: number): void {
+  private markContested(key: SuspectKey, nowMs: number): void {
     this.contestedAtMs.delete(key);
     if (this.contestedAtMs.size >= MAX_CONTESTED_PARTS) return;
     this.contestedAtMs.set(key, nowMs);
   }
 
   private blockedUntilMs(
-    key: PromptPartKey,
-    blamed: ReadonlyMap<PromptPartKey, BlamedPart>,
+    key: SuspectKey,
+    blamed: ReadonlyMap<SuspectKey, BlamedSuspect>,
   ): number {
     const stored = this.storedBlocks.get(key) ?? 0;
     const part = blamed.get(key);
@@ -220,7 +224,7 @@
 
   private currentlyBlamed(
     nowMs: number,
-  ): ReadonlyMap<PromptPartKey, BlamedPart> {
+  ): ReadonlyMap<SuspectKey, BlamedSuspect> {
     this.expire(nowMs);
     const isSameEvidence = this.blamedRevision === this.evidence.revision;
     // Evidence settles after a while, which changes no revision.
@@ -231,7 +235,7 @@
     this.blamedRevision = this.evidence.revision;
     this.blamedAtMs = nowMs;
     const before = this.blamed;
-    const parts = blameParts(this.evidence.suspectParts, nowMs);
+    const parts = blameSuspects(this.evidence.suspectParts, nowMs);
     this.blamed = new Map(parts.map(part => [part.key, part]));
     for (const part of parts) {
       const known = before.get(part.key)?.excessCrashes;
@@ -252,7 +256,7 @@
     }
   }
 
-  private toSuspectReport(part: SuspectPart, nowMs: number): SuspectReport {
+  private toSuspectReport(part: Suspect, nowMs: number): SuspectReport {
     const {key, depth, crashAtMs} = part;
     const trial = this.trials.get(key);
     return {
@@ -266,8 +270,8 @@
   }
 
   /** Answers seen here that peers may not know of. */
-  private contestedAnswers(nowMs: number): Array<[PromptPartKey, number]> {
-    const answered: Array<[PromptPartKey, number]> = [];
+  private contestedAnswers(nowMs: number): Array<[SuspectKey, number]> {
+    const answered: Array<[SuspectKey, number]> = [];
     for (const [key, contestedAtMs] of this.contestedAtMs) {
       const atMs = this.evidence.ownAnswerAtMs(key);
       if (atMs === undefined) continue;
--- a/packages/forwarding/src/core/relay/prompt_guard.ts
+++ b/packages/forwarding/src/core/relay/run_guard.ts
@@ -7,15 +7,15 @@
 import {
   crashIdOf,
   promptPartKey,
-  type PromptPartKey,
+  type SuspectKey,
 } from '../quarantine/crash_evidence.js';
-import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
 
-export interface PromptGuardOptions {
+export interface RunGuardOptions {
   readonly service: ServiceId;
   readonly parts: readonly PromptPartId[];
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly failureDetector: PathFailureDetector;
   readonly nowMs: () => number;
 }
@@ -27,15 +27,15 @@
 const SURVIVED_AFTER_MS = 250;
 const SURVIVED_AFTER_CHUNKS = 3;
 
-export class PromptGuard {
-  private readonly keys: readonly PromptPartKey[];
+export class RunGuard {
+  private readonly keys: readonly SuspectKey[];
   private firstEventAtMs: number | undefined;
   private chunksWithEvents = 0;
   private isTrial = false;
   /** Whether a server has survived this request, so that all others will. */
   private isHarmless = false;
 
-  constructor(private readonly options: PromptGuardOptions) {
+  constructor(private readonly options: RunGuardOptions) {
     const {service, parts} = options;
     this.keys = parts.map(part => promptPartKey(service, part));
   }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -31,7 +31,7 @@
 import {writeHead} from '../gateway/write_response.js';
 import type {ServerChain} from '../paths/find_chains.js';
 import {formatPath, type ServerPath} from '../paths/server_path.js';
-import type {PromptQuarantine} from '../quarantine/prompt_quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
 import type {ServerHolds} from '../limits/server_holds.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
@@ -45,7 +45,7 @@
 import type {StreamDecision} from './decide_stream.js';
 import {EventSplitter} from './event_splitter.js';
 import type {PathFailureDetector} from './path_failure_detector.js';
-import {PromptGuard} from './prompt_guard.js';
+import {RunGuard} from './run_guard.js';
 import {StreamContinuation} from './stream_continuation.js';
 import {ReplacementPaths} from './replacement_paths.js';
 import type {StreamProgress} from './stalled_paths.js';
@@ -64,7 +64,7 @@
   readonly budget: SharedRetryBudget;
   readonly limits: SharedServerLimits;
   readonly holds: ServerHolds;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -149,7 +149,7 @@
   private migrateFromMs = 0;
   private isFinished = false;
   private lastCause = '';
-  private readonly promptGuard: PromptGuard;
+  private readonly runGuard: RunGuard;
   private readonly replacements: ReplacementPaths;
   private readonly continuation: StreamContinuation;
   /** First servers to which the request has been sent. */
@@ -166,7 +166,7 @@
     const given = Number(exchange.metadata.lastEventId ?? -1);
     this.splitter = new EventSplitter(Number.isSafeInteger(given) ? given : -1);
     const {service, quarantine, failureDetector, nowMs} = options;
-    this.promptGuard = new PromptGuard({
+    this.runGuard = new RunGuard({
       service,
       parts: exchange.metadata.sharedPromptParts,
       quarantine,
@@ -184,7 +184,7 @@
       accepted,
       queuedRequest,
       admission,
-      {...options, blockedForMs: () => this.promptGuard.blockedForMs()},
+      {...options, blockedForMs: () => this.runGuard.blockedForMs()},
     );
     exchange.res.once('close', () => this.handleCallerDisconnect());
   }
@@ -267,7 +267,7 @@
       return this.handleDeadline();
     }
     const isWaiting = this.continuation.isWaiting;
-    const {shouldStopRun} = this.promptGuard;
+    const {shouldStopRun} = this.runGuard;
     if ((isWaiting || shouldStopRun) && this.isQuarantined)
       return this.endQuarantined();
     if (isWaiting) return this.continuation.forgetFailures();
@@ -334,7 +334,7 @@
 
   private send(path: ServerPath): void {
     const {options, exchange, accepted} = this;
-    if (!this.promptGuard.tryStartRun()) return this.endQuarantined();
+    if (!this.runGuard.tryStartRun()) return this.endQuarantined();
     const now = options.nowMs();
     this.path = path;
     this.sentAtMs = now;
@@ -466,7 +466,7 @@
     this.lastEventAtMs = now;
     this.hasEventOnPath = true;
     this.continuation.recordEvent();
-    this.promptGuard.recordEvents();
+    this.runGuard.recordEvents();
     this.options.failureDetector.recordEvent(this.path[0].server.address, now);
   }
 
@@ -514,7 +514,7 @@
     }
     const {res} = this.exchange;
     res.end();
-    this.promptGuard.recordSurvival();
+    this.runGuard.recordSurvival();
     this.finish();
     this.log('stream completed');
   }
@@ -534,7 +534,7 @@
       if (!retryAfterMs) failureDetector.checkAfterRefusal(faulty);
       const {loads, nowMs} = this.options;
       loads.recordRefusal(first, this.sentAtMs, nowMs());
-      this.promptGuard.endRun();
+      this.runGuard.endRun();
       this.lastCause = `status ${status} at ${faulty}`;
       return this.continueOrEnd(first, true);
     }
@@ -555,18 +555,18 @@
     const first = server.address;
     this.lastCause = cause;
     if (!mayHaveRun) {
-      this.promptGuard.endRun();
+      this.runGuard.endRun();
       this.options.failureDetector.suspectServer(first, cause, this.sentAtMs);
       return this.continueOrEnd(first, false);
     }
     this.continuation.recordRun(first);
     this.exchange.recordLoss();
-    if (!this.promptGuard.mayHaveCausedLoss)
+    if (!this.runGuard.mayHaveCausedLoss)
       return this.continueOrEnd(first, false);
     // The request may have ended the server and would end the next one too.
     this.path = [];
     this.upstream = undefined;
-    this.promptGuard
+    this.runGuard
       .recordLoss(server)
       .then(() => this.continueOrEnd(first, false))
       .catch(error => this.failInternally(error));
@@ -585,7 +585,7 @@
     if (wasSent) return this.handleServerLoss(cause, true);
     // Nothing has reached the first server, which may be sound.
     this.lastCause = cause;
-    this.promptGuard.endRun();
+    this.runGuard.endRun();
     this.continueOrEnd(this.path[0].server.address, false);
   }
 
@@ -695,7 +695,7 @@
    * stream that may be resumed waits if the block ends before its time limit.
    */
   private get isQuarantined(): boolean {
-    const blockedForMs = this.promptGuard.blockedForMs();
+    const blockedForMs = this.runGuard.blockedForMs();
     const {route, deadlineAtMs} = this.accepted;
     const mayWait = this.isHeadSent && route.isResumable;
     const waitMs = mayWait ? deadlineAtMs - this.options.nowMs() : 0;
@@ -714,7 +714,7 @@
       this.continuation.mayHaveRun = true;
       return this.endIncomplete({kind: 'fail'});
     }
-    const retryAfterMs = Math.ceil(this.promptGuard.blockedForMs());
+    const retryAfterMs = Math.ceil(this.runGuard.blockedForMs());
     this.refuse('crashing_prompt', retryAfterMs);
   }
 
@@ -831,7 +831,7 @@
 
   private finish(): void {
     this.isFinished = true;
-    this.promptGuard.endRun();
+    this.runGuard.endRun();
     this.releaseReservation();
     this.admission.remove(this.queuedRequest.request);
     this.admission.recordUsage(
--- a/packages/forwarding/test/entry_mesh_test.ts
+++ b/packages/forwarding/test/entry_mesh_test.ts
@@ -7,23 +7,23 @@
   EntryMesh,
   FleetView,
   PeerQueues,
-  PromptQuarantine,
+  RequestQuarantine,
   SharedRetryBudget,
   SharedServerLimits,
   type CrashId,
-  type PromptPartKey,
+  type SuspectKey,
   type ServiceQueues,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {SERVICE, emptyFleet} from './fleet_fixture.js';
 
-const CRASHING = 'assistant/crash' as PromptPartKey;
-const OTHER = 'assistant/other' as PromptPartKey;
+const CRASHING = 'assistant/crash' as SuspectKey;
+const OTHER = 'assistant/other' as SuspectKey;
 const ADDRESS = '10.0.0.1:80';
 
 /** An entry that exchanges reports over connections on this machine. */
 class MeshEntry implements Disposable {
-  readonly quarantine = new PromptQuarantine(() => {});
+  readonly quarantine = new RequestQuarantine(() => {});
   readonly limits: SharedServerLimits;
   readonly fleet = new FleetView();
   readonly peerQueues = new PeerQueues();
@@ -104,7 +104,7 @@
       const crash = `s${i}@1` as CrashId;
       a.quarantine.recordCrash([key], crash, nowMs + (i % 2) * 400 - 1000);
     }
-    const isBlocked = (key: PromptPartKey) =>
+    const isBlocked = (key: SuspectKey) =>
       b.quarantine.blockedForMs([key], performance.now()) > 0;
     await waitUntil('both parts blocked', () =>
       [CRASHING, OTHER].every(isBlocked),
--- a/packages/forwarding/test/entry_state_test.ts
+++ b/packages/forwarding/test/entry_state_test.ts
@@ -7,7 +7,7 @@
   toReport,
   type CrashId,
   type EntryState,
-  type PromptPartKey,
+  type SuspectKey,
   type ServiceQueues,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
@@ -15,7 +15,7 @@
 
 const FIRST = '10.0.0.1:80';
 const OTHER_SERVICE = 'desk' as ServiceId;
-const KEY = 'assistant/part' as PromptPartKey;
+const KEY = 'assistant/part' as SuspectKey;
 
 function stateOf(partial: Partial<EntryState>): EntryState {
   return {...EMPTY_STATE, ...partial};
--- a/packages/forwarding/test/mesh_relays_test.ts
+++ b/packages/forwarding/test/mesh_relays_test.ts
@@ -7,7 +7,7 @@
   FleetView,
   PeerQueues,
   PrefixWatcher,
-  PromptQuarantine,
+  RequestQuarantine,
   RelayedPrefixStore,
   SharedRetryBudget,
   SharedServerLimits,
@@ -49,7 +49,7 @@
         extraRetries: 10,
         windowMs: 10_000,
       }),
-      quarantine: new PromptQuarantine(() => {}),
+      quarantine: new RequestQuarantine(() => {}),
       limits: new SharedServerLimits({
         node,
         entryCount: () => ENTRIES,
--- a/packages/forwarding/test/quarantined_streams_test.ts
+++ b/packages/forwarding/test/quarantined_streams_test.ts
@@ -1,13 +1,13 @@
 /** Started streams whose prompt has a part that is blamed for lost servers. */
 import {describe, it} from 'node:test';
-import type {CrashId, PromptPartKey} from '@azurecrank/forwarding';
-import {PromptQuarantine} from '@azurecrank/forwarding';
+import type {CrashId, SuspectKey} from '@azurecrank/forwarding';
+import {RequestQuarantine} from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {SERVICE} from './fleet_fixture.js';
 import {RelayHarness, flushPromises} from './relay_harness.js';
 
 const PART = 'part';
-const KEY = `${SERVICE}/${PART}` as PromptPartKey;
+const KEY = `${SERVICE}/${PART}` as SuspectKey;
 const FAILURE = {cause: 'reset', mayHaveRun: true};
 
 /** Crashes that follow each other later count as independent. */
@@ -21,7 +21,7 @@
 
 /** A stream that has had its first event. */
 function startedStream(): RelayHarness {
-  const quarantine = new PromptQuarantine(() => {});
+  const quarantine = new RequestQuarantine(() => {});
   const harness = new RelayHarness({}, [PART], quarantine);
   harness.receiveHead();
   harness.receiveEvents(1);
@@ -117,7 +117,7 @@
   });
 
   it('ends at once if it may not be resumed', async () => {
-    const quarantine = new PromptQuarantine(() => {});
+    const quarantine = new RequestQuarantine(() => {});
     const harness = new RelayHarness({isResumable: false}, [PART], quarantine);
     harness.receiveHead();
     harness.receiveEvents(1);
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -18,7 +18,7 @@
   ModelAdmission,
   PathFailureDetector,
   PeerQueues,
-  PromptQuarantine,
+  RequestQuarantine,
   ServerHolds,
   SharedServerLimits,
   SharedRetryBudget,
@@ -359,7 +359,7 @@
   constructor(
     route: Partial<Route> = {},
     promptParts: readonly string[] = [],
-    readonly quarantine = new PromptQuarantine(() => {}),
+    readonly quarantine = new RequestQuarantine(() => {}),
     transport: Partial<Transport> = {},
   ) {
     for (const server of laidOutFleet()) this.fleet.put(server, 0);
--- a/packages/forwarding/test/prompt_quarantine_test.ts
+++ b/packages/forwarding/test/request_quarantine_test.ts
@@ -7,18 +7,18 @@
 } from '@azurecrank/core';
 import {Logger} from '@azurecrank/core';
 import {
-  PromptQuarantine,
+  RequestQuarantine,
   QuarantineStore,
   type CrashId,
-  type PromptPartKey,
+  type SuspectKey,
   type StoreChange,
 } from '@azurecrank/forwarding';
 import {expect} from 'earl';
 import {RelayHarness, flushPromises} from './relay_harness.js';
 
-const FIRST = 'assistant/first' as PromptPartKey;
-const CRASHING = 'assistant/crash' as PromptPartKey;
-const OTHER = 'assistant/other' as PromptPartKey;
+const FIRST = 'assistant/first' as SuspectKey;
+const CRASHING = 'assistant/crash' as SuspectKey;
+const OTHER = 'assistant/other' as SuspectKey;
 const BLOCK_MS = 10 * 60_000;
 
 let crashes = 0;
@@ -26,15 +26,15 @@
 
 /** A quarantine that has seen crashes of these parts at these times. */
 function quarantineAfter(
-  keys: readonly PromptPartKey[],
+  keys: readonly SuspectKey[],
   ...atMs: number[]
-): PromptQuarantine {
-  const quarantine = new PromptQuarantine(() => {});
+): RequestQuarantine {
+  const quarantine = new RequestQuarantine(() => {});
   for (const ms of atMs) quarantine.recordCrash(keys, nextCrash(), ms);
   return quarantine;
 }
 
-describe('PromptQuarantine', () => {
+describe('RequestQuarantine', () => {
   describe('blames', () => {
     it('no part for one crash', () => {
       const quarantine = quarantineAfter([FIRST, CRASHING], 0);
@@ -50,7 +50,7 @@
     });
 
     it('no neighbour that was in fewer crashes', () => {
-      const quarantine = new PromptQuarantine(() => {});
+      const quarantine = new RequestQuarantine(() => {});
       for (const atMs of [0, 1000, 2000]) {
         const crash = nextCrash();
         quarantine.recordCrash([FIRST, CRASHING], crash, atMs);
@@ -60,7 +60,7 @@
     });
 
     it('no answered part for servers that end together', () => {
-      const quarantine = new PromptQuarantine(() => {});
+      const quarantine = new RequestQuarantine(() => {});
       quarantine.recordAnswer([FIRST], 0);
       for (let i = 0; i < 9; i++)
         quarantine.recordCrash([FIRST], nextCrash(), 1000 + i * 10);
@@ -68,7 +68,7 @@
     });
 
     it('an answered part that ends server after server later', () => {
-      const quarantine = new PromptQuarantine(() => {});
+      const quarantine = new RequestQuarantine(() => {});
       quarantine.recordAnswer([FIRST], 0);
       for (let i = 1; i <= 5; i++)
         quarantine.recordCrash([FIRST], nextCrash(), i * 1000);
@@ -108,7 +108,7 @@
     // Guards against a sound part that stays blocked (incident 7).
     it('that was blamed wrongly, at all entries, with the first answer', () => {
       const blamed = quarantineAfter([OTHER], 0, 100);
-      const peer = new PromptQuarantine(() => {});
+      const peer = new RequestQuarantine(() => {});
       peer.applyPeerReport(blamed.report(400), 400);
       expect(peer.tryStart([OTHER], 500)).toEqual('trial');
       peer.recordAnswer([OTHER], 900);
@@ -126,16 +126,16 @@
 
   it('tells an entry that has just started what its peers know', () => {
     const known = quarantineAfter([CRASHING], 0, 1000, 2000);
-    const restarted = new PromptQuarantine(() => {});
+    const restarted = new RequestQuarantine(() => {});
     restarted.applyPeerReport(known.report(60_000), 60_000);
     expect(restarted.tryStart([CRASHING], 60_000)).toEqual('blocked');
   });
 
   // Guards against entries that repeat all evidence of all others.
   it('reports what it has seen itself, and blamed parts once a second', () => {
-    const [seen, told] = [0, 1].map(() => new PromptQuarantine(() => {}));
+    const [seen, told] = [0, 1].map(() => new RequestQuarantine(() => {}));
     for (let i = 0; i < 30; i++) {
-      const key = `assistant/p${i}` as PromptPartKey;
+      const key = `assistant/p${i}` as SuspectKey;
       seen.recordCrash([key], nextCrash(), 0);
     }
     for (const atMs of [0, 400, 800, 1200])
@@ -151,9 +151,9 @@
 
   // Guards against callers that fill the memory of an entry.
   it('remembers a bounded number of parts', () => {
-    const quarantine = new PromptQuarantine(() => {});
+    const quarantine = new RequestQuarantine(() => {});
     for (let i = 0; i < 20_000; i++) {
-      const key = `assistant/p${i}` as PromptPartKey;
+      const key = `assistant/p${i}` as SuspectKey;
       if (i % 2 === 0) quarantine.recordAnswer([key], i);
       else quarantine.recordCrash([key], nextCrash(), i);
     }
@@ -200,7 +200,7 @@
 }
 
 describe('QuarantineStore', () => {
-  function storeOf(store: FakeStore, quarantine: PromptQuarantine) {
+  function storeOf(store: FakeStore, quarantine: RequestQuarantine) {
     return new QuarantineStore({
       keyValue: store as unknown as KeyValueService,
       quarantine,
@@ -226,7 +226,7 @@
     t.mock.timers.tick(500);
     await flushPromises();
 
-    const restarted = new PromptQuarantine(() => {});
+    const restarted = new RequestQuarantine(() => {});
     using after = storeOf(store, restarted);
     after.applySnapshot({entries: store.entries, revision: 1, era: 0});
     expect(restarted.tryStart([CRASHING], 10_000)).toEqual('blocked');
@@ -249,7 +249,7 @@
       `${prefix}${encodeURIComponent(CRASHING)}`,
       String(untilUnixMs),
     );
-    const quarantine = new PromptQuarantine(() => {});
+    const quarantine = new RequestQuarantine(() => {});
     using blocks = storeOf(store, quarantine);
     blocks.applySnapshot({entries: store.entries, revision: 1, era: 1});
     blocks.applyChanges(store.entries);
@@ -265,7 +265,7 @@
   it('keeps a block that a restored store lacks, and writes it', async t => {
     t.mock.timers.enable({apis: ['setInterval']});
     const store = new FakeStore();
-    const quarantine = new PromptQuarantine(() => {});
+    const quarantine = new RequestQuarantine(() => {});
     using blocks = storeOf(store, quarantine);
     const key = `azurecrank/quarantine/${encodeURIComponent(CRASHING)}`;
     const entries = [{key, value: String(Date.now() + 60_000)}];
@@ -285,7 +285,7 @@
   // since a restore of the store has brought its block back.
   it('removes a block again that was removed since the copy', async () => {
     const store = new FakeStore();
-    const quarantine = new PromptQuarantine(() => {});
+    const quarantine = new RequestQuarantine(() => {});
     using blocks = storeOf(store, quarantine);
     const key = `azurecrank/quarantine/${encodeURIComponent(CRASHING)}`;
     const entries = [{key, value: String(Date.now() + 60_000)}];
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -22,7 +22,7 @@
   ModelAdmission,
   PathFailureDetector,
   PeerQueues,
-  PromptQuarantine,
+  RequestQuarantine,
   ServerHolds,
   SharedServerLimits,
   ServerControl,
@@ -594,7 +594,7 @@
     extraRetries: 390,
     windowMs: 10_000,
   });
-  private readonly quarantine = new PromptQuarantine(() => this.reportSoon());
+  private readonly quarantine = new RequestQuarantine(() => this.reportSoon());
   private readonly streams = new Set<StreamRelay>();
   private readonly upstream: SimulatedUpstream;
   private readonly leavingServers: LeavingServers;
