--- a/packages/azurecrank/src/cli/explain/explanations.ts
+++ b/packages/azurecrank/src/cli/explain/explanations.ts
@@ -50,6 +50,7 @@
   shed_for_higher_rank: NOT_RUN,
   deadline_unreachable: NOT_RUN,
   crashing_prompt: NOT_RUN,
+  crashing_request: NOT_RUN,
   claim_store_unavailable: NOT_RUN,
   claim_page_full: NOT_RUN,
   retry_budget_exhausted: SEE_RAN,
--- a/packages/azurecrank/src/core/explaining/request_outcome.ts
+++ b/packages/azurecrank/src/core/explaining/request_outcome.ts
@@ -130,7 +130,7 @@
   not_resumable: 'it may not be resumed',
   attempts: 'it had been sent to servers as often as allowed',
   deadline: 'no chain had capacity in time',
-  quarantined: 'a part of its prompt ends servers',
+  quarantined: 'it, or a part of its prompt, ends servers',
   stopping: 'its entry stopped',
 };
 
--- a/packages/core/src/core/errors/errors_data.ts
+++ b/packages/core/src/core/errors/errors_data.ts
@@ -160,6 +160,12 @@
     hint: 'Change the prompt, or report its parts to those who run the servers.',
     retryAfterS: 600,
   },
+  crashing_request: {
+    status: 503,
+    title: 'The request ends the servers that run it',
+    hint: 'Change the request, or report it to those who run the servers.',
+    retryAfterS: 600,
+  },
   claim_store_unavailable: {
     status: 503,
     title: 'The key-value service cannot record the claim',
--- a/packages/forwarding/src/core/fleet/fleet_view.ts
+++ b/packages/forwarding/src/core/fleet/fleet_view.ts
@@ -410,6 +410,13 @@
     return newest;
   }
 
+  /** Tells what is registered at the address of an incarnation. */
+  stateOf(server: BackendServer): 'registered' | 'replaced' | 'missing' {
+    const registered = this.findByAddress(server.address);
+    if (!registered) return 'missing';
+    return isSameIncarnation(registered, server) ? 'registered' : 'replaced';
+  }
+
   /**
    * Returns the servers of the service that are not leaving, including those
    * that are suspected or refuse requests.
--- a/packages/forwarding/src/core/peers/report_codec.ts
+++ b/packages/forwarding/src/core/peers/report_codec.ts
@@ -8,7 +8,8 @@
 import type {ServiceQueues} from '../admission/peer_queues.js';
 import type {HeldLayers} from '../fleet/fleet_view.js';
 import type {ServerLimitReport} from '../limits/shared_server_limits.js';
-import type {CrashId, SuspectKey} from '../quarantine/crash_evidence.js';
+import type {CrashId} from '../quarantine/crash_evidence.js';
+import type {SuspectKey} from '../quarantine/suspect_key.js';
 import type {
   QuarantineReport,
   SuspectReport,
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -48,6 +48,8 @@
   type QuarantineChange,
 } from '../quarantine/request_quarantine.js';
 import {QuarantineStore} from '../quarantine/quarantine_store.js';
+import {CrashWatch} from '../quarantine/crash_watch.js';
+import {kindOf} from '../quarantine/suspect_key.js';
 import {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {TableHolder} from '../routing/table_holder.js';
@@ -131,6 +133,7 @@
     this.handleQuarantineChange(change),
   );
   private readonly quarantineStore: QuarantineStore;
+  private readonly crashWatch: CrashWatch;
   private isBroadcastPending = false;
   private queueIntervals = 0;
   private readonly gateway: ForwardingGateway;
@@ -263,6 +266,7 @@
       metrics,
       logger,
       nowMs,
+      quarantine: this.quarantine,
     };
     const failureDetector = new PathFailureDetector({
       control: adapter.control,
@@ -277,6 +281,13 @@
       hasEventSince: (address, sinceMs) =>
         this.gateway.hasEventSince(address, sinceMs),
       onServerLost,
+      onServerEnded: server => this.crashWatch.recordEnd(server),
+    });
+    this.crashWatch = new CrashWatch({
+      quarantine: this.quarantine,
+      hasEnded: server => failureDetector.hasEnded(server),
+      stateOf: server => fleet.stateOf(server),
+      nowMs,
     });
     this.disposables.addInterval(
       () => void failureDetector.checkMarkedServers(),
@@ -293,13 +304,14 @@
           balancer: this.callBalancer,
           memory: this.responseMemory,
           hasEnded: server => failureDetector.hasEnded(server),
+          crashWatch: this.crashWatch,
         },
         streams: {
           ...common,
           control: adapter.control,
           failureDetector,
           loads,
-          quarantine: this.quarantine,
+          crashWatch: this.crashWatch,
         },
         budget: this.retryBudget,
         refusals,
@@ -505,13 +517,16 @@
     const {logger} = this;
     switch (change.kind) {
       case 'blamed':
-        logger.warn('prompt part ends servers', {...change.part});
+        logger.warn('suspect ends servers', {
+          ...change.suspect,
+          kind: kindOf(change.suspect.key),
+        });
         break;
       case 'trial':
-        logger.info('trial of a prompt part', {part: change.key});
+        logger.info('trial of a suspect', {suspect: change.key});
         break;
       case 'cleared':
-        logger.info('prompt part cleared', {part: change.key});
+        logger.info('suspect cleared', {suspect: change.key});
         this.quarantineStore.removeBlock(change.key);
         break;
       default:
@@ -536,6 +551,7 @@
     this.callBalancer.retainServers(addresses);
     this.limits.retainServers(addresses);
     this.holds.expire(performance.now());
+    this.crashWatch.checkRegistrations();
     this.layoutRunner?.checkNow();
     this.logger.info('servers changed', {
       servers: servers.length,
--- a/packages/forwarding/src/core/quarantine/crash_evidence.ts
+++ b/packages/forwarding/src/core/quarantine/crash_evidence.ts
@@ -1,37 +1,32 @@
 /**
- * Evidence on the parts of prompts that may end the servers which answer them.
- * A part is suspected in each crash in which a request with it had just begun;
- * an answer that goes on clears all parts of its prompt. Pure; times are
- * arguments.
+ * Evidence on the requests and parts of prompts that may end the servers which
+ * answer them. Both are suspected in each crash in which a server was at work on
+ * such a request; an answer clears them. Pure; times are arguments.
  */
-import type {Branded, PromptPartId, ServiceId} from '@azurecrank/core';
+import type {Branded} from '@azurecrank/core';
 import type {BackendServer} from '../fleet/backend_server.js';
-
-/** A part of the prompts of one service. */
-export type SuspectKey = Branded<string, 'SuspectKey'>;
+import type {RequestScope} from './request_digest.js';
+import type {SuspectKey} from './suspect_key.js';
+import {SuspectScopes} from './suspect_scopes.js';
 
 /** The end of one incarnation of a server. */
 export type CrashId = Branded<string, 'CrashId'>;
 
-export function promptPartKey(
-  service: ServiceId,
-  part: PromptPartId,
-): SuspectKey {
-  return `${service}/${part}` as SuspectKey;
-}
-
 export function crashIdOf({server, startedAtMs}: BackendServer): CrashId {
   return `${server}@${startedAtMs}` as CrashId;
 }
 
-/** A part that was in the prompt of a request that had just begun in a crash. */
+/** A request, or a part of its prompt, that a server ran when it ended. */
 export interface Suspect {
   readonly key: SuspectKey;
-  /** Place of the part in the prompt; later parts are shared by fewer requests. */
+  /**
+   * Place of the part in the prompt, and of the request after all its parts:
+   * what comes later is shared by fewer requests.
+   */
   readonly depth: number;
   /** Times of the crashes since the last answer. */
   readonly crashAtMs: Map<CrashId, number>;
-  /** Whether requests with the part were answered before the first crash. */
+  /** Whether such requests were answered before the first crash. */
   readonly wasAnswered: boolean;
   /** When this entry last learned of a crash, from a peer or by itself. */
   learnedAtMs: number;
@@ -54,15 +49,16 @@
 }
 
 /** Bounds on memory; the oldest records are dropped. */
-const MAX_ANSWERED_PARTS = 4096;
-const MAX_SUSPECT_PARTS = 1024;
-const MAX_CRASHES_PER_PART = 16;
+const MAX_ANSWERED = 4096;
+const MAX_SUSPECTS = 1024;
+const MAX_CRASHES_PER_SUSPECT = 16;
 
-/** Time after the last crash for which a part stays suspected. */
+/** Time after the last crash for which a suspicion stays. */
 const EVIDENCE_TTL_MS = 20 * 60_000;
 
 export class CrashEvidence {
   private readonly suspects = new Map<SuspectKey, Suspect>();
+  private readonly scopes = new SuspectScopes();
   private readonly answers = new Map<SuspectKey, Answer>();
   private changeCount = 0;
   private lastLearnedAtMs = -Infinity;
@@ -77,7 +73,7 @@
     return this.changeCount;
   }
 
-  get suspectParts(): Iterable<Suspect> {
+  get all(): Iterable<Suspect> {
     return this.suspects.values();
   }
 
@@ -85,7 +81,17 @@
     return this.suspects.get(key);
   }
 
-  /** Records that an answer on a prompt with these parts goes on. */
+  /** Whether some request is suspected. */
+  get hasRequests(): boolean {
+    return !this.scopes.isEmpty;
+  }
+
+  /** Whether a request of this scope is suspected. */
+  hasScope(scope: RequestScope): boolean {
+    return this.scopes.has(scope);
+  }
+
+  /** Records that a server survived a request with these keys. */
   recordAnswer(keys: readonly SuspectKey[], nowMs: number): void {
     for (const key of keys) this.setAnswer(key, {atMs: nowMs, isOwn: true});
   }
@@ -103,8 +109,8 @@
   }
 
   /**
-   * Records the end of a server on which a request with this part had just
-   * begun. A crash before the last answer is ignored.
+   * Records the end of a server that ran a request with this key. A crash before
+   * the last answer is ignored.
    * @returns whether this is new evidence
    */
   recordCrash(
@@ -115,7 +121,8 @@
   ): boolean {
     const answeredAtMs = this.answers.get(key)?.atMs ?? -Infinity;
     if (atMs <= answeredAtMs) return false;
-    const part = this.suspects.get(key) ?? {
+    const known = this.suspects.get(key);
+    const suspect = known ?? {
       key,
       depth,
       crashAtMs: new Map<CrashId, number>(),
@@ -123,40 +130,59 @@
       learnedAtMs: nowMs,
       observedAtMs: -Infinity,
     };
-    if (isOwn) part.observedAtMs = nowMs;
-    if (part.crashAtMs.has(crash)) return false;
-    part.crashAtMs.set(crash, atMs);
-    dropOldest(part.crashAtMs, MAX_CRASHES_PER_PART);
-    part.learnedAtMs = nowMs;
+    if (isOwn) suspect.observedAtMs = nowMs;
+    if (suspect.crashAtMs.has(crash)) return false;
+    suspect.crashAtMs.set(crash, atMs);
+    dropOldest(suspect.crashAtMs, MAX_CRASHES_PER_SUSPECT);
+    suspect.learnedAtMs = nowMs;
     this.lastLearnedAtMs = nowMs;
-    // The parts with the latest evidence are dropped last.
+    if (!known) this.scopes.add(key);
+    // Those with the latest evidence come last.
     this.suspects.delete(key);
-    this.suspects.set(key, part);
-    dropOldest(this.suspects, MAX_SUSPECT_PARTS);
+    this.suspects.set(key, suspect);
+    this.dropExcess();
     this.changeCount++;
     return true;
   }
 
-  /** Drops parts without a crash for a long time. */
+  /** Drops suspects without a crash for a long time. */
   expire(nowMs: number): void {
     for (const [key, {learnedAtMs}] of this.suspects) {
       if (nowMs - learnedAtMs < EVIDENCE_TTL_MS) break;
-      this.suspects.delete(key);
+      this.drop(key);
       this.changeCount++;
     }
   }
 
+  /**
+   * Drops a suspect if there are too many: the oldest with a single crash, since
+   * each crash makes suspects of all that the server ran.
+   */
+  private dropExcess(): void {
+    if (this.suspects.size <= MAX_SUSPECTS) return;
+    let oldest: SuspectKey | undefined;
+    for (const [key, {crashAtMs}] of this.suspects) {
+      oldest ??= key;
+      if (crashAtMs.size === 1) return this.drop(key);
+    }
+    if (oldest !== undefined) this.drop(oldest);
+  }
+
+  private drop(key: SuspectKey): void {
+    if (this.suspects.delete(key)) this.scopes.remove(key);
+  }
+
   private setAnswer(key: SuspectKey, answer: Answer): void {
     this.answers.delete(key);
     this.answers.set(key, answer);
-    dropOldest(this.answers, MAX_ANSWERED_PARTS);
-    const part = this.suspects.get(key);
-    if (!part) return;
-    for (const [crash, atMs] of part.crashAtMs) {
-      if (atMs <= answer.atMs) part.crashAtMs.delete(crash);
+    dropOldest(this.answers, MAX_ANSWERED);
+    const suspect = this.suspects.get(key);
+    if (!suspect) return;
+    for (const [crash, atMs] of suspect.crashAtMs) {
+      if (atMs <= answer.atMs) suspect.crashAtMs.delete(crash);
     }
-    if (part.crashAtMs.size === 0) this.suspects.delete(key);
-    else this.suspects.set(key, {...part, wasAnswered: true});
+    if (suspect.crashAtMs.size === 0) this.drop(key);
+    else this.suspects.set(key, {...suspect, wasAnswered: true});
     this.changeCount++;
   }
 }
--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -1,13 +1,13 @@
 /**
- * Keeps long blocks of prompt parts in the store, so that entries which all
- * restart at once do not try the parts again. A block ends with its lease.
+ * Keeps long blocks of requests and prompt parts in the store, so that entries
+ * which all restart at once do not try them again. A block ends with its lease.
  */
 import type {KeyValueService, Logger} from '@azurecrank/core';
 import type {StoreChange, StoreSnapshot} from '../adapter/platform_adapter.js';
 import {UnreadableEntries} from '../adapter/unreadable_entries.js';
 import {ENTRY_STORE_PREFIX} from '../peers/entry_directory.js';
-import type {SuspectKey} from './crash_evidence.js';
 import type {RequestQuarantine} from './request_quarantine.js';
+import type {SuspectKey} from './suspect_key.js';
 
 const BLOCKS_PREFIX = `${ENTRY_STORE_PREFIX}quarantine/`;
 
@@ -57,7 +57,7 @@
   constructor(private readonly options: QuarantineStoreOptions) {
     this.unreadable = new UnreadableEntries(
       options.logger,
-      'block of a prompt part is unreadable; ignored',
+      'block of a suspect is unreadable; ignored',
     );
   }
 
@@ -73,7 +73,8 @@
   /** @param afterRestore whether the store was restored before this reading */
   applySnapshot({entries}: StoreSnapshot, afterRestore = false): void {
     if (afterRestore) {
-      for (const [part, {untilMs}] of this.stored) this.lost.set(part, untilMs);
+      for (const [suspect, {untilMs}] of this.stored)
+        this.lost.set(suspect, untilMs);
     }
     this.stored.clear();
     this.applyChanges(entries);
@@ -90,54 +91,56 @@
   /** Skips what other writers may have stored under the prefix. */
   private applyChange({key, value}: StoreChange): void {
     const {nowMs} = this.options;
-    const part = partOf(key);
+    const suspect = suspectOf(key);
     const untilUnixMs = Number(value);
-    if (part !== undefined && value === undefined) this.recordRemoval(part);
+    if (suspect !== undefined && value === undefined)
+      this.recordRemoval(suspect);
     if (value === undefined) return this.unreadable.clear(key);
-    if (part === undefined || !Number.isFinite(untilUnixMs)) {
-      if (part !== undefined) this.stored.delete(part);
+    if (suspect === undefined || !Number.isFinite(untilUnixMs)) {
+      if (suspect !== undefined) this.stored.delete(suspect);
       return this.unreadable.report(key, {step: 'quarantine'}, nowMs());
     }
     const leftMs = Math.min(MAX_LEASE_TTL_MS, untilUnixMs - Date.now());
-    this.stored.set(part, {value, untilMs: nowMs() + leftMs});
-    this.lost.delete(part);
+    this.stored.set(suspect, {value, untilMs: nowMs() + leftMs});
+    this.lost.delete(suspect);
     this.unreadable.clear(key);
   }
 
-  private recordRemoval(part: SuspectKey): void {
-    const block = this.stored.get(part);
-    if (block) this.removed.set(part, block);
-    this.stored.delete(part);
+  private recordRemoval(suspect: SuspectKey): void {
+    const block = this.stored.get(suspect);
+    if (block) this.removed.set(suspect, block);
+    this.stored.delete(suspect);
   }
 
   private updateQuarantine(): void {
     const blocks = new Map(this.lost);
-    for (const [part, {untilMs}] of this.stored) blocks.set(part, untilMs);
+    for (const [suspect, {untilMs}] of this.stored)
+      blocks.set(suspect, untilMs);
     this.options.quarantine.setStoredBlocks(blocks);
   }
 
   /** Removes the blocks that a restore of the store has brought back. */
   private removeRestored(): void {
-    for (const [part, {value}] of this.removed) {
-      if (this.stored.get(part)?.value !== value) continue;
-      this.removeBlock(part);
-      this.stored.delete(part);
+    for (const [suspect, {value}] of this.removed) {
+      if (this.stored.get(suspect)?.value !== value) continue;
+      this.removeBlock(suspect);
+      this.stored.delete(suspect);
     }
     this.updateQuarantine();
   }
 
-  /** Removes the block of a part that a server has answered. */
-  removeBlock(part: SuspectKey): void {
-    this.lost.delete(part);
-    if (!this.stored.has(part)) return;
+  /** Removes the block of what a server has answered. */
+  removeBlock(suspect: SuspectKey): void {
+    this.lost.delete(suspect);
+    if (!this.stored.has(suspect)) return;
     const {keyValue, logger} = this.options;
-    const key = keyOf(part);
+    const key = keyOf(suspect);
     keyValue
       .get(key)
       .then(entry => entry && keyValue.remove(key, entry.revision))
       .catch(error => {
-        logger.warn('block of a prompt part could not be removed; it expires', {
-          part,
+        logger.warn('block of a suspect could not be removed; it expires', {
+          suspect,
           cause: String(error),
         });
       });
@@ -146,28 +149,30 @@
   private writeDueBlocks(): void {
     const {quarantine, nowMs, entryCount} = this.options;
     const now = nowMs();
-    for (const [part, untilMs] of this.lost) {
-      if (untilMs <= now) this.lost.delete(part);
+    for (const [suspect, untilMs] of this.lost) {
+      if (untilMs <= now) this.lost.delete(suspect);
     }
-    for (const [part, {untilMs}] of this.removed) {
-      if (untilMs <= now) this.removed.delete(part);
+    for (const [suspect, {untilMs}] of this.removed) {
+      if (untilMs <= now) this.removed.delete(suspect);
     }
     const blocks = new Map([...this.lost, ...quarantine.longBlocks(now)]);
-    for (const part of this.dueAtMs.keys()) {
-      if (!blocks.has(part)) this.dueAtMs.delete(part);
+    for (const suspect of this.dueAtMs.keys()) {
+      if (!blocks.has(suspect)) this.dueAtMs.delete(suspect);
     }
-    for (const [part, untilMs] of blocks) {
-      if (this.stored.has(part) || keyOf(part).length > MAX_KEY_CHARS) continue;
+    for (const [suspect, untilMs] of blocks) {
+      if (this.stored.has(suspect) || keyOf(suspect).length > MAX_KEY_CHARS)
+        continue;
       const spreadMs = entryCount() * WRITE_SPREAD_PER_ENTRY_MS;
-      const dueAtMs = this.dueAtMs.get(part) ?? now + Math.random() * spreadMs;
-      this.dueAtMs.set(part, dueAtMs);
+      const dueAtMs =
+        this.dueAtMs.get(suspect) ?? now + Math.random() * spreadMs;
+      this.dueAtMs.set(suspect, dueAtMs);
       if (now < dueAtMs) continue;
-      this.dueAtMs.set(part, now + spreadMs);
-      void this.writeBlock(part, untilMs - now);
+      this.dueAtMs.set(suspect, now + spreadMs);
+      void this.writeBlock(suspect, untilMs - now);
     }
   }
 
-  private async writeBlock(part: SuspectKey, leftMs: number): Promise<void> {
+  private async writeBlock(suspect: SuspectKey, leftMs: number): Promise<void> {
     const {keyValue, logger} = this.options;
     const ttlMs = Math.min(
       MAX_LEASE_TTL_MS,
@@ -177,31 +182,31 @@
       const value = String(Math.round(Date.now() + leftMs));
       const lease = await keyValue.grantLease(ttlMs);
       const outcome = await keyValue.compareAndSwap(
-        keyOf(part),
+        keyOf(suspect),
         value,
         0,
         lease,
       );
-      logger.info('block of a prompt part stored', {
-        part,
+      logger.info('block of a suspect stored', {
+        suspect,
         ttlMs,
         outcome: outcome.kind,
       });
     } catch (error) {
-      logger.warn('block of a prompt part could not be stored; retrying', {
-        part,
+      logger.warn('block of a suspect could not be stored; retrying', {
+        suspect,
         cause: String(error),
       });
     }
   }
 }
 
-function keyOf(part: SuspectKey): string {
-  return BLOCKS_PREFIX + encodeURIComponent(part);
+function keyOf(suspect: SuspectKey): string {
+  return BLOCKS_PREFIX + encodeURIComponent(suspect);
 }
 
 /** Returns undefined for a key that `keyOf` does not return. */
-function partOf(key: string): SuspectKey | undefined {
+function suspectOf(key: string): SuspectKey | undefined {
   try {
     return decodeURIComponent(key.slice(BLOCKS_PREFIX.length)) as SuspectKey;
   } catch {
--- a/packages/forwarding/src/core/quarantine/request_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/request_quarantine.ts
@@ -1,25 +1,23 @@
 /**
- * Keeps requests with a part that ends servers away from them. A blamed part
- * gets one request at a time as a trial, after each crash later, over all
- * entries: they report crashes, answers and trials to each other. Pure; times
- * are arguments.
+ * Keeps requests that end servers away from them: single requests, and all with
+ * a part in their prompts. What is blamed gets one request at a time as a trial,
+ * after each crash later, over all entries: they report crashes, answers and
+ * trials to each other. Pure; times are arguments.
  */
 import {
   blameSuspects,
   CRASH_SETTLE_MS,
   type BlamedSuspect,
 } from './blame_suspects.js';
-import {
-  CrashEvidence,
-  type CrashId,
-  type SuspectKey,
-  type Suspect,
-} from './crash_evidence.js';
+import {CrashEvidence, type CrashId, type Suspect} from './crash_evidence.js';
+import type {RequestScope} from './request_digest.js';
+import {kindOf, type SuspectKey, type SuspectKind} from './suspect_key.js';
+import {SuspectScopes} from './suspect_scopes.js';
 
 /** Evidence for the other entries; ages are in milliseconds. */
 export interface QuarantineReport {
   readonly suspects: readonly SuspectReport[];
-  /** Parts that others suspect, with the age of the last answer seen here. */
+  /** What others suspect, with the age of the last answer seen here. */
   readonly answered: ReadonlyArray<readonly [SuspectKey, number]>;
 }
 
@@ -34,35 +32,49 @@
 export type QuarantineChange =
   | {readonly kind: 'evidence'}
   | {readonly kind: 'trial'; readonly key: SuspectKey}
-  | {readonly kind: 'blamed'; readonly part: BlamedSuspect}
+  | {readonly kind: 'blamed'; readonly suspect: BlamedSuspect}
   | {readonly kind: 'cleared'; readonly key: SuspectKey};
 
 /** Whether a request may start on a server, and how. */
 export type StartDecision = 'free' | 'trial' | 'blocked';
 
 /**
- * Time after the last crash for which a blamed part gets no trial, by the
+ * Times after the last crash for which a blamed suspect gets no trial, by the
  * number of crashes since it was blamed. The last one applies to all further
- * crashes.
+ * crashes. A request has one more, as a sound one may have been the only work of
+ * servers that ended by themselves.
  */
-const TRIAL_PAUSES_MS = [0, 3000, 10 * 60_000];
+const TRIAL_PAUSES_MS: Readonly<Record<SuspectKind, readonly number[]>> = {
+  prompt_part: [0, 3000, 10 * 60_000],
+  request: [0, 3000, 30_000, 10 * 60_000],
+  running_request: [0, 3000, 30_000, 10 * 60_000],
+};
+
+/** Pauses from this length on are kept in the store. */
+const MIN_STORED_PAUSE_MS = 30_000;
+
+/**
+ * Longest time after which the caller of a request that is blocked by a trial
+ * is to come back. Most trials have an outcome sooner than their timeout.
+ */
+const MAX_TRIAL_RETRY_MS = 500;
 
 /** Time for which the outcome of a trial is awaited. */
 const TRIAL_TIMEOUT_MS = 3000;
 
 /**
  * What this entry has seen is reported for this time, so that lost reports do
- * no harm. Blamed parts are repeated as often for entries that start.
+ * no harm. What is blamed is repeated as often for entries that start.
  */
 const REPORT_REPEAT_MS = 1000;
 
-/** Answers to parts that were suspected within this time are reported. */
+/** Answers to what was suspected within this time are reported. */
 const CONTESTED_MS = 30_000;
 
 /** Bounds the size of a report, and of what is remembered for it. */
-const MAX_REPORTED_PARTS = 64;
+const MAX_REPORTED_SUSPECTS = 64;
 const MAX_REPORTED_CRASHES = 6;
-const MAX_CONTESTED_PARTS = 1024;
+const MAX_CONTESTED = 1024;
 
 /** Interval at which old evidence is dropped. */
 const EXPIRY_INTERVAL_MS = 10_000;
@@ -75,9 +87,10 @@
 export class RequestQuarantine {
   private readonly evidence = new CrashEvidence();
   private readonly trials = new Map<SuspectKey, Trial>();
-  /** Parts that the store lists as blocked, with the end of the block. */
+  /** What the store lists as blocked, with the end of the block. */
   private storedBlocks: ReadonlyMap<SuspectKey, number> = new Map();
-  /** When each part was last suspected. */
+  private storedScopes = new SuspectScopes();
+  /** When each key was last suspected. */
   private readonly contestedAtMs = new Map<SuspectKey, number>();
   private blamedReportedAtMs = -Infinity;
   private blamed = new Map<SuspectKey, BlamedSuspect>();
@@ -88,15 +101,42 @@
   /** @param onChange called after a change that other entries should know */
   constructor(private readonly onChange: (change: QuarantineChange) => void) {}
 
-  /** Time until a request with these parts may start; 0 if it may at once. */
+  /** Whether the digest of some request must be known to decide on it. */
+  get suspectsRequests(): boolean {
+    return this.evidence.hasRequests || !this.storedScopes.isEmpty;
+  }
+
+  /** Whether a request of this scope is suspected or blocked. */
+  suspectsScope(scope: RequestScope): boolean {
+    return this.evidence.hasScope(scope) || this.storedScopes.has(scope);
+  }
+
+  /** Whether there is any evidence against these keys. */
+  isSuspect(keys: readonly SuspectKey[]): boolean {
+    return keys.some(
+      key => this.evidence.suspect(key) || this.storedBlocks.has(key),
+    );
+  }
+
+  /**
+   * Time after which the caller of a blocked request is to come back. A trial
+   * may end sooner than the block.
+   */
+  retryAfterMs(keys: readonly SuspectKey[], nowMs: number): number {
+    const blockedForMs = this.blockedForMs(keys, nowMs);
+    const isPaused = keys.some(key => this.pausedUntilMs(key) > nowMs);
+    return isPaused ? blockedForMs : Math.min(blockedForMs, MAX_TRIAL_RETRY_MS);
+  }
+
+  /** Time until a request with these keys may start; 0 if it may at once. */
   blockedForMs(keys: readonly SuspectKey[], nowMs: number): number {
     const blamed = this.currentlyBlamed(nowMs);
     if (blamed.size === 0 && this.storedBlocks.size === 0) return 0;
-    const untilMs = keys.map(key => this.blockedUntilMs(key, blamed));
+    const untilMs = keys.map(key => this.blockedUntilMs(key));
     return Math.max(0, ...untilMs.map(until => until - nowMs));
   }
 
-  /** Decides on a start; a request with a blamed part starts as its trial. */
+  /** Decides on a start; a request with a blamed key starts as its trial. */
   tryStart(keys: readonly SuspectKey[], nowMs: number): StartDecision {
     if (this.blockedForMs(keys, nowMs) > 0) return 'blocked';
     const blamed = this.currentlyBlamed(nowMs);
@@ -115,7 +155,7 @@
     }
   }
 
-  /** Records that a server goes on with the answer to these parts. */
+  /** Records that a server survived a request with these keys. */
   recordAnswer(keys: readonly SuspectKey[], nowMs: number): void {
     const cleared = keys.filter(
       key => this.blamed.has(key) || this.storedBlocks.has(key),
@@ -128,8 +168,8 @@
   }
 
   /**
-   * Records that a server ended while it began to answer a prompt with these
-   * parts, which are in their order.
+   * Records that a server ended while it ran a request with these keys: the
+   * parts of its prompt in their order, then the request.
    */
   recordCrash(
     keys: readonly SuspectKey[],
@@ -146,20 +186,31 @@
     if (isNew) this.onChange({kind: 'evidence'});
   }
 
+  /** Makes the next report have all that is blamed, for an entry that starts. */
+  repeatBlamed(): void {
+    this.blamedReportedAtMs = -Infinity;
+  }
+
+  /** Whether something is blamed. */
+  get hasBlamed(): boolean {
+    return this.blamed.size > 0;
+  }
+
   /** Evidence that other entries may not have. */
   report(nowMs: number): QuarantineReport {
     const blamed = this.currentlyBlamed(nowMs);
     const repeatsBlamed = nowMs - this.blamedReportedAtMs >= REPORT_REPEAT_MS;
     if (repeatsBlamed) this.blamedReportedAtMs = nowMs;
-    const suspects = [...this.evidence.suspectParts]
+    const suspects = [...this.evidence.all]
       .filter(
-        ({key, observedAtMs}) =>
-          nowMs - observedAtMs < REPORT_REPEAT_MS ||
-          this.trials.get(key)?.isOwn ||
-          (repeatsBlamed && blamed.has(key)),
+        suspect =>
+          (nowMs - suspect.observedAtMs < REPORT_REPEAT_MS &&
+            concernsPeers(suspect)) ||
+          this.trials.get(suspect.key)?.isOwn ||
+          (repeatsBlamed && blamed.has(suspect.key)),
       )
-      .slice(-MAX_REPORTED_PARTS)
-      .map(part => this.toSuspectReport(part, nowMs));
+      .slice(-MAX_REPORTED_SUSPECTS)
+      .map(suspect => this.toSuspectReport(suspect, nowMs));
     return {suspects, answered: this.contestedAnswers(nowMs)};
   }
 
@@ -188,17 +239,18 @@
   /** Replaces the blocks that the store lists, with the end of each. */
   setStoredBlocks(blocks: ReadonlyMap<SuspectKey, number>): void {
     this.storedBlocks = blocks;
+    this.storedScopes = new SuspectScopes();
+    for (const key of blocks.keys()) this.storedScopes.add(key);
   }
 
-  /** Parts whose block outlives this process, with the end of each block. */
+  /** What is blocked beyond the life of this process, with the end of each block. */
   longBlocks(nowMs: number): ReadonlyMap<SuspectKey, number> {
-    const longest = TRIAL_PAUSES_MS.length - 1;
     return new Map(
       [...this.currentlyBlamed(nowMs).values()]
-        .filter(({excessCrashes}) => excessCrashes >= longest)
-        .map(({key, lastCrashAtMs}): [SuspectKey, number] => [
-          key,
-          lastCrashAtMs + TRIAL_PAUSES_MS[longest],
+        .filter(suspect => pauseMs(suspect) >= MIN_STORED_PAUSE_MS)
+        .map((suspect): [SuspectKey, number] => [
+          suspect.key,
+          suspect.lastCrashAtMs + pauseMs(suspect),
         ])
         .filter(([, untilMs]) => untilMs > nowMs),
     );
@@ -206,20 +258,22 @@
 
   private markContested(key: SuspectKey, nowMs: number): void {
     this.contestedAtMs.delete(key);
-    if (this.contestedAtMs.size >= MAX_CONTESTED_PARTS) return;
+    if (this.contestedAtMs.size >= MAX_CONTESTED) return;
     this.contestedAtMs.set(key, nowMs);
   }
 
-  private blockedUntilMs(
-    key: SuspectKey,
-    blamed: ReadonlyMap<SuspectKey, BlamedSuspect>,
-  ): number {
-    const stored = this.storedBlocks.get(key) ?? 0;
-    const part = blamed.get(key);
-    if (!part) return stored;
-    const pause = Math.min(part.excessCrashes, TRIAL_PAUSES_MS.length - 1);
-    const trial = this.trials.get(key)?.untilMs ?? 0;
-    return Math.max(stored, trial, part.lastCrashAtMs + TRIAL_PAUSES_MS[pause]);
+  private blockedUntilMs(key: SuspectKey): number {
+    const pausedUntilMs = this.pausedUntilMs(key);
+    if (!this.blamed.has(key)) return pausedUntilMs;
+    return Math.max(pausedUntilMs, this.trials.get(key)?.untilMs ?? 0);
+  }
+
+  /** Time until which no trial may start, whether or not one is under way. */
+  private pausedUntilMs(key: SuspectKey): number {
+    const storedUntilMs = this.storedBlocks.get(key) ?? 0;
+    const suspect = this.blamed.get(key);
+    if (!suspect) return storedUntilMs;
+    return Math.max(storedUntilMs, suspect.lastCrashAtMs + pauseMs(suspect));
   }
 
   private currentlyBlamed(
@@ -235,11 +289,12 @@
     this.blamedRevision = this.evidence.revision;
     this.blamedAtMs = nowMs;
     const before = this.blamed;
-    const parts = blameSuspects(this.evidence.suspectParts, nowMs);
-    this.blamed = new Map(parts.map(part => [part.key, part]));
-    for (const part of parts) {
-      const known = before.get(part.key)?.excessCrashes;
-      if (known !== part.excessCrashes) this.onChange({kind: 'blamed', part});
+    const suspects = blameSuspects(this.evidence.all, nowMs);
+    this.blamed = new Map(suspects.map(suspect => [suspect.key, suspect]));
+    for (const suspect of suspects) {
+      const known = before.get(suspect.key)?.excessCrashes;
+      if (known !== suspect.excessCrashes)
+        this.onChange({kind: 'blamed', suspect});
     }
     return this.blamed;
   }
@@ -256,8 +311,8 @@
     }
   }
 
-  private toSuspectReport(part: Suspect, nowMs: number): SuspectReport {
-    const {key, depth, crashAtMs} = part;
+  private toSuspectReport(suspect: Suspect, nowMs: number): SuspectReport {
+    const {key, depth, crashAtMs} = suspect;
     const trial = this.trials.get(key);
     return {
       key,
@@ -279,6 +334,20 @@
       if (newsAgeMs >= REPORT_REPEAT_MS) continue;
       answered.push([key, Math.round(nowMs - atMs)]);
     }
-    return answered.slice(-MAX_REPORTED_PARTS);
+    return answered.slice(-MAX_REPORTED_SUSPECTS);
   }
 }
+
+/** Time after the last crash for which a blamed suspect gets no trial. */
+function pauseMs({key, excessCrashes}: BlamedSuspect): number {
+  const pausesMs = TRIAL_PAUSES_MS[kindOf(key)];
+  return pausesMs[Math.min(excessCrashes, pausesMs.length - 1)];
+}
+
+/**
+ * Whether other entries should know of a suspect. A stream goes on at the entry
+ * that it began at, so its first crash concerns no other.
+ */
+function concernsPeers({key, crashAtMs}: Suspect): boolean {
+  return kindOf(key) !== 'running_request' || crashAtMs.size > 1;
+}
--- a/packages/forwarding/src/core/relay/call_relay.ts
+++ b/packages/forwarding/src/core/relay/call_relay.ts
@@ -19,6 +19,8 @@
   CallerExchange,
 } from '../gateway/caller_exchange.js';
 import {writeResponse} from '../gateway/write_response.js';
+import type {CrashWatch} from '../quarantine/crash_watch.js';
+import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
 import type {SharedRetryBudget} from '../retry/shared_retry_budget.js';
 import {CallServers, type CallServersOptions} from './call_servers.js';
 import {
@@ -34,8 +36,9 @@
   type CallState,
 } from './decide_call.js';
 import type {BufferedBody, ResponseMemory} from './response_memory.js';
+import {RunGuard} from './run_guard.js';
 import {hasKnownLength} from './stream_response.js';
-import type {Exchange, Upstream} from './upstream.js';
+import {isRefusedConnection, type Exchange, type Upstream} from './upstream.js';
 
 export interface CallRelayOptions extends CallServersOptions {
   readonly upstream: Upstream;
@@ -44,6 +47,8 @@
   /** Whether this incarnation of a server has ended. */
   readonly hasEnded: (server: BackendServer) => Promise<boolean>;
   readonly memory: ResponseMemory;
+  readonly quarantine: RequestQuarantine;
+  readonly crashWatch: CrashWatch;
   readonly budget: SharedRetryBudget;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
@@ -86,9 +91,12 @@
 
 const STOP_CAUSE = 'this entry stops';
 
+const QUARANTINED_CAUSE = 'the request ends servers';
+
 /** Relays one call, including all its attempts. */
 export class CallRelay {
   private readonly servers: CallServers;
+  private readonly runGuard: RunGuard;
   private upstream: Exchange | undefined;
   /** Body of the response to the last attempt. */
   private body: BufferedBody | undefined;
@@ -111,6 +119,7 @@
     private readonly options: CallRelayOptions,
   ) {
     this.servers = new CallServers(service, options);
+    this.runGuard = new RunGuard({...options, service, exchange, parts: []});
   }
 
   start(): void {
@@ -147,11 +156,13 @@
   private startAttempt(): void {
     const {options, accepted, exchange} = this;
     const nowMs = options.nowMs();
+    if (this.runGuard.blockedForMs() > 0) return this.endQuarantined();
     const server = this.servers.select(nowMs);
     if (!server) {
       if (this.waitForHold(nowMs)) return;
       return this.refuseWithoutServer(nowMs);
     }
+    if (!this.runGuard.tryStartRun()) return this.endQuarantined();
     this.server = server;
     const isRepeated = this.servers.wasTried(server);
     this.servers.recordAttempt(server, nowMs);
@@ -243,7 +254,10 @@
       },
       onFailure: ({cause, mayHaveRun}) => {
         this.hasLostConnection = mayHaveRun;
-        this.failAttempt(mayHaveRun ? 'broken' : 'not_sent', cause);
+        if (isRefusedConnection(cause))
+          this.options.crashWatch.recordEnd(server);
+        if (mayHaveRun) this.handleServerLoss(server, cause);
+        else this.failAttempt('not_sent', cause);
       },
     });
   }
@@ -270,7 +284,7 @@
       .then(hasEnded => {
         if (this.isFinished || this.upstream !== upstream) return;
         if (hasEnded)
-          this.failAttempt('broken', 'server ended with its response');
+          this.handleServerLoss(server, 'server ended with its response');
         else this.handleResponse(response);
       })
       .catch(error => this.failAttempt('broken', String(error)));
@@ -283,12 +297,46 @@
     if (metadata.isRefusalStatus && !mayRepeat)
       return this.failAttempt('broken', unconfirmedRefusal(status));
     this.lastResponse = {status, headers, body};
+    this.runGuard.recordAnswer();
     this.clearTimer();
     this.recordOutcome({kind: 'answered', status});
     this.serversReached++;
     this.handleOutcome({kind: 'answered', status});
   }
 
+  /**
+   * Ends an attempt whose server broke off. If servers have ended under such a
+   * call before, what follows waits until it is known whether this one has.
+   */
+  private handleServerLoss(server: BackendServer, cause: string): void {
+    if (this.isFinished) return;
+    const {isSuspect} = this.runGuard;
+    const loss = this.runGuard.recordLoss([server]);
+    if (!isSuspect) {
+      this.failAttempt('broken', cause);
+      return void loss.catch(error => this.logLossError(error));
+    }
+    this.clearTimer();
+    this.upstream = undefined;
+    this.mayHaveRun = true;
+    let isDecided = false;
+    const decide = () => {
+      if (isDecided) return;
+      isDecided = true;
+      this.failAttempt('broken', cause);
+    };
+    const remainingMs = this.accepted.deadlineAtMs - this.options.nowMs();
+    this.timer = setTimeout(decide, remainingMs - DEADLINE_MARGIN_MS);
+    loss.catch(error => this.logLossError(error)).finally(decide);
+  }
+
+  private logLossError(error: unknown): void {
+    this.options.logger.warn('end of a server could not be recorded', {
+      ...this.exchange.logFields(),
+      cause: String(error),
+    });
+  }
+
   /** Ends an attempt that got no usable response. */
   private failAttempt(
     kind: 'broken' | 'not_sent' | 'not_run' | 'slow',
@@ -301,6 +349,8 @@
     this.lastCause = cause;
     if (kind !== 'not_sent') this.serversReached++;
     if (kind === 'broken' || kind === 'slow') this.exchange.recordLoss();
+    else this.runGuard.endRun();
+    if (kind === 'slow' && this.server) this.runGuard.abandonRun(this.server);
     this.recordOutcome({kind});
     this.handleOutcome({kind});
   }
@@ -326,6 +376,8 @@
     if (outcome.kind === 'broken' || outcome.kind === 'slow') {
       this.mayHaveRun = true;
     }
+    if (decision === 'retry' && this.runGuard.blockedForMs() > 0)
+      return this.endQuarantined();
     if (decision === 'retry' && this.retry(outcome, now)) return;
     this.finish(decision, outcome);
   }
@@ -410,6 +462,20 @@
     });
   }
 
+  /** Ends a call that no server must get, as it ends servers. */
+  private endQuarantined(): void {
+    if (this.isFinished) return;
+    this.lastCause = QUARANTINED_CAUSE;
+    if (this.lastResponse) return this.deliver(this.lastResponse);
+    if (this.mayHaveRun) return this.failUnknown({kind: 'broken'});
+    this.isFinished = true;
+    const refusal = refuse(this.runGuard.refusalReason, 'call', {
+      detail: QUARANTINED_CAUSE,
+      retryAfterMs: Math.ceil(this.runGuard.retryAfterMs()),
+    });
+    this.options.refusals.refuse(this.exchange, refusal);
+  }
+
   /** Ends a call for which there is no server, or none with a request left. */
   private refuseWithoutServer(nowMs: number): void {
     const {detail, reason, retryAfterMs} = this.servers.explainNone(nowMs);
@@ -513,6 +579,8 @@
     if (this.isFinished) return;
     this.isFinished = true;
     this.clearTimer();
+    const mayRun = this.upstream?.wasSent ?? false;
+    if (mayRun && this.server) this.runGuard.abandonRun(this.server);
     this.upstream?.abort();
     const {balancer, nowMs, logger} = this.options;
     if (this.server) balancer.recordCancellation(this.server.address, nowMs());
--- a/packages/forwarding/src/core/relay/path_failure_detector.ts
+++ b/packages/forwarding/src/core/relay/path_failure_detector.ts
@@ -13,6 +13,7 @@
 import {formatPath, type ServerPath} from '../paths/server_path.js';
 import type {ModelSpec} from '../routing/routing_table.js';
 import {EventIntervalMonitor} from './event_interval_monitor.js';
+import {isRefusedConnection} from './upstream.js';
 
 export interface PathFailureDetectorOptions {
   readonly control: ServerControl;
@@ -28,6 +29,8 @@
   readonly hasEventSince: (address: ServerAddress, sinceMs: number) => boolean;
   /** Called when a server is found not to respond or to refuse requests. */
   readonly onServerLost: () => void;
+  /** Called when nothing listens any more at the address of a server. */
+  readonly onServerEnded: (server: BackendServer) => void;
 }
 
 /**
@@ -46,9 +49,6 @@
 const MIN_SLOW_PATH_QUERY_INTERVAL_MS = 3000;
 const MAX_SLOW_PATH_QUERY_INTERVAL_MS = 48_000;
 
-/** Shows that nothing listens at the address, so no lossy link is to blame. */
-const CONNECTION_REFUSED_CODE = 'ECONNREFUSED';
-
 /**
  * Shows that the connection of a question was closed without a response. A
  * process that ends closes its connections before the socket that listens.
@@ -172,7 +172,10 @@
     queriedAtMs: number,
   ): void {
     const {fleet, logger, onServerLost, wasPaused} = this.options;
-    if (wasPaused() || !fleet.findByAddress(address)) return;
+    const server = fleet.findByAddress(address);
+    if (server && isRefusedConnection(cause))
+      this.options.onServerEnded(server);
+    if (wasPaused() || !server) return;
     if (this.options.hasEventSince(address, queriedAtMs)) {
       logger.info('suspicion is not shared by events', {peer: address, cause});
       return;
@@ -233,7 +236,7 @@
         await delay(ENDED_RETRY_DELAY_MS);
         return this.queryEnded(server, questions + 1);
       }
-      if (!isLost && !cause.includes(CONNECTION_REFUSED_CODE)) return false;
+      if (!isLost && !isRefusedConnection(cause)) return false;
       this.suspectServer(address, cause, queriedAtMs);
       return true;
     }
@@ -299,7 +302,7 @@
         this.applyReport(address, report, queriedAtMs);
       } catch (error) {
         const cause = String(error);
-        if (cause.includes(CONNECTION_REFUSED_CODE))
+        if (isRefusedConnection(cause))
           this.suspectServer(address, cause, queriedAtMs);
         else failures.push({address, cause});
       }
--- a/packages/forwarding/src/core/relay/stream_relay.ts
+++ b/packages/forwarding/src/core/relay/stream_relay.ts
@@ -21,7 +21,7 @@
   WaitingRequest,
 } from '../admission/model_admission.js';
 import type {ChainLoads} from '../admission/chain_loads.js';
-import type {ServerAddress} from '../fleet/backend_server.js';
+import type {BackendServer, ServerAddress} from '../fleet/backend_server.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {LeavingServers} from '../fleet/leaving_servers.js';
 import type {
@@ -31,6 +31,7 @@
 import {writeHead} from '../gateway/write_response.js';
 import type {ServerChain} from '../paths/find_chains.js';
 import {formatPath, type ServerPath} from '../paths/server_path.js';
+import type {CrashWatch} from '../quarantine/crash_watch.js';
 import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
 import type {ServerHolds} from '../limits/server_holds.js';
 import type {SharedServerLimits} from '../limits/shared_server_limits.js';
@@ -65,6 +66,7 @@
   readonly limits: SharedServerLimits;
   readonly holds: ServerHolds;
   readonly quarantine: RequestQuarantine;
+  readonly crashWatch: CrashWatch;
   readonly refusals: RefusalSender;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -117,7 +119,7 @@
  */
 const MAX_REPLACEMENT_ORDERS = 3;
 
-const QUARANTINED_CAUSE = 'a part of the prompt ends servers';
+const QUARANTINED_CAUSE = 'the request or a part of its prompt ends servers';
 
 export class StreamRelay {
   private splitter: EventSplitter;
@@ -165,12 +167,13 @@
   ) {
     const given = Number(exchange.metadata.lastEventId ?? -1);
     this.splitter = new EventSplitter(Number.isSafeInteger(given) ? given : -1);
-    const {service, quarantine, failureDetector, nowMs} = options;
+    const {service, quarantine, crashWatch, nowMs} = options;
     this.runGuard = new RunGuard({
       service,
+      exchange,
       parts: exchange.metadata.sharedPromptParts,
       quarantine,
-      failureDetector,
+      crashWatch,
       nowMs,
     });
     const {costTokens} = queuedRequest;
@@ -189,7 +192,7 @@
     exchange.res.once('close', () => this.handleCallerDisconnect());
   }
 
-  /** Queues the request, unless its prompt is known to end servers. */
+  /** Queues the request, unless it is known to end servers. */
   enqueue(): void {
     if (this.isQuarantined) return this.endQuarantined();
     this.admission.enqueue(this.queuedRequest);
@@ -514,7 +517,7 @@
     }
     const {res} = this.exchange;
     res.end();
-    this.runGuard.recordSurvival();
+    this.runGuard.recordAnswer();
     this.finish();
     this.log('stream completed');
   }
@@ -551,8 +554,8 @@
 
   private handleServerLoss(cause: string, mayHaveRun: boolean): void {
     if (this.isFinished || this.path.length === 0) return;
-    const [{server}] = this.path;
-    const first = server.address;
+    const servers = this.path.map(({server}) => server);
+    const first = servers[0].address;
     this.lastCause = cause;
     if (!mayHaveRun) {
       this.runGuard.endRun();
@@ -561,14 +564,17 @@
     }
     this.continuation.recordRun(first);
     this.exchange.recordLoss();
-    if (!this.runGuard.mayHaveCausedLoss)
-      return this.continueOrEnd(first, false);
-    // The request may have ended the server and would end the next one too.
-    this.path = [];
-    this.upstream = undefined;
-    this.runGuard
-      .recordLoss(server)
-      .then(() => this.continueOrEnd(first, false))
+    const {isSuspect} = this.runGuard;
+    const loss = this.runGuard.recordLoss(servers);
+    if (isSuspect) {
+      // The request may have ended the server and would end the next one too.
+      this.path = [];
+      this.upstream = undefined;
+    } else {
+      this.continueOrEnd(first, false);
+    }
+    loss
+      .then(() => isSuspect && this.continueOrEnd(first, false))
       .catch(error => this.failInternally(error));
   }
 
@@ -691,7 +697,7 @@
   }
 
   /**
-   * Whether servers must not get the request because of its prompt. A started
+   * Whether servers must not get the request because it ends them. A started
    * stream that may be resumed waits if the block ends before its time limit.
    */
   private get isQuarantined(): boolean {
@@ -702,7 +708,7 @@
     return blockedForMs > Math.max(0, waitMs);
   }
 
-  /** Ends a request that a server must not get because of its prompt. */
+  /** Ends a request that a server must not get because it ends servers. */
   private endQuarantined(): void {
     if (this.isFinished) return;
     const isRunning = this.upstream?.wasSent ?? false;
@@ -714,8 +720,8 @@
       this.continuation.mayHaveRun = true;
       return this.endIncomplete({kind: 'fail'});
     }
-    const retryAfterMs = Math.ceil(this.runGuard.blockedForMs());
-    this.refuse('crashing_prompt', retryAfterMs);
+    const {refusalReason} = this.runGuard;
+    this.refuse(refusalReason, Math.ceil(this.runGuard.retryAfterMs()));
   }
 
   /** Replaces the suspected servers of the path, or abandons the path. */
@@ -725,6 +731,10 @@
     if (fleet.isSuspected(first.server.address)) {
       return this.leaveSuspected('the first server does not answer');
     }
+    const loss = this.runGuard.recordLosses(this.suspectedServers());
+    if (!this.runGuard.isSuspect)
+      loss.catch(error => this.failInternally(error));
+    else if (!(await this.mayGoOnAfter(loss))) return;
     let cause = 'no suitable replacement path in its zones';
     for (let order = 1; order <= MAX_REPLACEMENT_ORDERS; order++) {
       const path = this.replacements.find(this.path);
@@ -739,6 +749,28 @@
     this.leaveSuspected(cause);
   }
 
+  private suspectedServers(): BackendServer[] {
+    const {fleet} = this.options;
+    return this.path
+      .map(({server}) => server)
+      .filter(({address}) => fleet.isSuspected(address));
+  }
+
+  /**
+   * Waits until it is known whether servers have ended under the request, and
+   * ends it if it must not be sent to others.
+   */
+  private async mayGoOnAfter(loss: Promise<void>): Promise<boolean> {
+    const {upstream} = this;
+    this.isRepathing = true;
+    await loss;
+    this.isRepathing = false;
+    if (this.isFinished || this.upstream !== upstream) return false;
+    if (!this.isQuarantined) return true;
+    this.endQuarantined();
+    return false;
+  }
+
   /**
    * Leaves a path with suspected servers, unless neither this entry nor the
    * caller may repeat the request: the servers may only be silent.
@@ -789,6 +821,7 @@
   }
 
   private handleDeadline(): void {
+    this.abandonRun();
     this.upstream?.abort();
     if (this.isHeadSent) {
       this.lastCause = 'deadline exceeded';
@@ -804,12 +837,19 @@
 
   private handleCallerDisconnect(): void {
     if (this.isFinished) return;
+    this.abandonRun();
     this.upstream?.abort();
     const {waitsFor} = this.continuation;
     this.finish();
     this.log('caller left', {waitsFor, ...this.waitFields()});
   }
 
+  /** Its server may go on with the request, and end under it. */
+  private abandonRun(): void {
+    const mayRun = this.upstream?.wasSent && this.path.length > 0;
+    if (mayRun) this.runGuard.abandonRun(this.path[0].server);
+  }
+
   /** Time since which the server could have sent an event. */
   private get eventsAwaitedSinceMs(): number {
     return Math.max(this.lastEventAtMs, this.pathSetAtMs, this.callerReadAtMs);
--- a/packages/forwarding/src/core/relay/upstream.ts
+++ b/packages/forwarding/src/core/relay/upstream.ts
@@ -262,6 +262,11 @@
   }
 }
 
+/** Whether the cause of a failure is that nothing listens at the address. */
+export function isRefusedConnection(cause: string): boolean {
+  return cause.includes('ECONNREFUSED');
+}
+
 /** Converts a raw header list, given as buffers or strings, to strings. */
 function toStringHeaders(
   raw: Buffer[] | string[] | Record<string, unknown> | null | undefined,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -60,6 +60,8 @@
 export * from './core/quarantine/request_quarantine.js';
 export * from './core/quarantine/quarantine_store.js';
 export * from './core/quarantine/request_digest.js';
+export * from './core/quarantine/suspect_key.js';
+export * from './core/quarantine/crash_watch.js';
 export * from './core/relay/run_guard.js';
 export * from './core/retry/shared_retry_budget.js';
 export * from './core/retry/window_counter.js';
--- a/packages/forwarding/test/call_harness.ts
+++ b/packages/forwarding/test/call_harness.ts
@@ -11,8 +11,10 @@
   CallLoadBalancer,
   CallRelay,
   CallerExchange,
+  CrashWatch,
   FleetView,
   LeavingServers,
+  RequestQuarantine,
   ResponseMemory,
   ServerHolds,
   SharedRetryBudget,
@@ -44,6 +46,13 @@
   /** Whether the servers are found to have ended after their response. */
   hasServerEnded = false;
   private readonly fleet = new FleetView();
+  private readonly quarantine = new RequestQuarantine(() => {});
+  private readonly crashWatch = new CrashWatch({
+    quarantine: this.quarantine,
+    hasEnded: async () => this.hasServerEnded,
+    stateOf: server => this.fleet.stateOf(server),
+    nowMs: () => performance.now(),
+  });
   private readonly memory = new ResponseMemory();
   private readonly balancer = new CallLoadBalancer();
   private readonly logger = new Logger('test', 'silent');
@@ -103,6 +112,8 @@
       }),
       holds: new ServerHolds(() => {}),
       hasEnded: async () => this.hasServerEnded,
+      quarantine: this.quarantine,
+      crashWatch: this.crashWatch,
       upstream,
       wire,
       fleet,
--- a/packages/forwarding/test/call_holds_test.ts
+++ b/packages/forwarding/test/call_holds_test.ts
@@ -20,6 +20,7 @@
 import {SERVICE, emptyFleet} from './fleet_fixture.js';
 import {
   FakeResponse,
+  quarantineOptions,
   FakeUpstream,
   FakeWire,
   ROUTE,
@@ -56,6 +57,7 @@
       wire: new FakeWire(),
       fleet: this.fleet,
       hasEnded: async () => false,
+      ...quarantineOptions(() => this.nowMs),
       leavingServers: new LeavingServers({
         fleet: this.fleet,
         logger,
--- a/packages/forwarding/test/ended_servers_test.ts
+++ b/packages/forwarding/test/ended_servers_test.ts
@@ -73,6 +73,7 @@
       healthPathOf: () => '/health',
       hasEventSince: () => false,
       onServerLost: () => {},
+      onServerEnded: () => {},
     });
   });
 
--- a/packages/forwarding/test/leaving_servers_test.ts
+++ b/packages/forwarding/test/leaving_servers_test.ts
@@ -15,6 +15,7 @@
 import {
   CALLER_FACTS,
   FakeResponse,
+  quarantineOptions,
   FakeWire,
   ROUTE,
   RelayHarness,
@@ -48,6 +49,7 @@
     fleet,
     leavingServers,
     hasEnded: async () => false,
+    ...quarantineOptions(() => harness.nowMs),
     memory: new ResponseMemory(),
     balancer: new CallLoadBalancer(),
     budget,
--- a/packages/forwarding/test/relay_harness.ts
+++ b/packages/forwarding/test/relay_harness.ts
@@ -12,6 +12,7 @@
 import {
   ADMISSIBLE_CAPACITY_FRACTION,
   CallerExchange,
+  CrashWatch,
   ChainLoads,
   FleetView,
   LeavingServers,
@@ -33,6 +34,7 @@
   type HealthCheckResult,
   type OrderOutcome,
   type RawHeaders,
+  type RequestDigest,
   type ResponseMetadata,
   type Route,
   type ServerAddress,
@@ -342,6 +344,7 @@
   readonly admission: ModelAdmission;
   readonly relay: StreamRelay;
   readonly failureDetector: PathFailureDetector;
+  readonly crashWatch: CrashWatch;
   readonly leavingServers: LeavingServers;
   readonly peerQueues = new PeerQueues();
   readonly metrics = new Metrics();
@@ -351,6 +354,8 @@
     this.logLines.push(JSON.parse(line) as LogLine),
   );
   private readonly relays: StreamRelay[] = [];
+  /** That of the first stream. */
+  private exchange: CallerExchange | undefined;
   /** Time of the last event of any stream through any server. */
   lastEventAtMs = -Infinity;
   /** Number of servers that were taken out of use because they leave. */
@@ -388,10 +393,23 @@
       healthPathOf: () => '/health',
       hasEventSince: (_, sinceMs) => this.lastEventAtMs >= sinceMs,
       onServerLost: () => {},
+      onServerEnded: server => this.crashWatch.recordEnd(server),
+    });
+    this.crashWatch = new CrashWatch({
+      quarantine,
+      hasEnded: server => this.failureDetector.hasEnded(server),
+      stateOf: server => fleet.stateOf(server),
+      nowMs,
     });
     this.relay = this.startStream(route, promptParts, this.res, transport);
   }
 
+  /** Digest of the request of the first stream. */
+  get digest(): RequestDigest {
+    if (!this.exchange) throw new Error('no stream was started');
+    return this.exchange.digest;
+  }
+
   /** Starts another stream with its own caller. */
   startStream(
     route: Partial<Route> = {},
@@ -418,6 +436,7 @@
       },
       this.nowMs,
     );
+    this.exchange ??= exchange;
     const accepted = acceptedRequest({...ROUTE, ...route}, this.nowMs + 20_000);
     exchange.accepted = accepted;
     const item: WaitingRequest = {
@@ -449,6 +468,7 @@
         service: SERVICE,
         budget: this.budget,
         quarantine: this.quarantine,
+        crashWatch: this.crashWatch,
         limits: this.limits,
         holds: this.holds,
         refusals: new RefusalSender(metrics, logger),
@@ -583,3 +603,15 @@
     return chain?.path.map(({server}) => server.address) ?? [first];
   }
 }
+
+/** A quarantine of its own for calls whose servers do not end. */
+export function quarantineOptions(nowMs: () => number) {
+  const quarantine = new RequestQuarantine(() => {});
+  const crashWatch = new CrashWatch({
+    quarantine,
+    hasEnded: async () => false,
+    stateOf: () => 'registered',
+    nowMs,
+  });
+  return {quarantine, crashWatch};
+}
--- a/packages/forwarding/test/request_quarantine_test.ts
+++ b/packages/forwarding/test/request_quarantine_test.ts
@@ -9,6 +9,7 @@
 import {
   RequestQuarantine,
   QuarantineStore,
+  requestKey,
   type CrashId,
   type SuspectKey,
   type StoreChange,
@@ -311,11 +312,14 @@
     return harness;
   }
 
-  it('suspects the prompt if the server has ended', async () => {
+  it('suspects the prompt and the request if the server has ended', async () => {
     const harness = harnessWithCrashes();
     await flushPromises();
     const {suspects} = harness.quarantine.report(harness.nowMs);
-    expect(suspects.map(({key}) => key)).toEqual([CRASHING]);
+    expect(suspects.map(({key}) => key)).toEqual([
+      CRASHING,
+      requestKey(harness.digest),
+    ]);
   });
 
   // Guards against blaming prompts for connections that are reset.
@@ -351,7 +355,10 @@
     harness.lastSent.handlers.onFailure({cause: 'closed', mayHaveRun: true});
     await flushPromises();
     const {suspects} = harness.quarantine.report(harness.nowMs);
-    expect(suspects.map(({key}) => key)).toEqual([CRASHING]);
+    expect(suspects.map(({key}) => key)).toEqual([
+      CRASHING,
+      requestKey(harness.digest),
+    ]);
   });
 
   it('ends a run without an event once its part is blocked', async () => {
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -16,6 +16,7 @@
 import {
   CallerExchange,
   ChainLoads,
+  CrashWatch,
   EMPTY_STATE,
   FleetView,
   LeavingServers,
@@ -599,6 +600,7 @@
   private readonly upstream: SimulatedUpstream;
   private readonly leavingServers: LeavingServers;
   private readonly failureDetector: PathFailureDetector;
+  private readonly crashWatch: CrashWatch;
   private readonly localState: LocalState;
   private readonly metrics = new Metrics();
   private readonly logger = new Logger('test', 'silent');
@@ -666,6 +668,13 @@
       healthPathOf: () => '/health',
       hasEventSince: hasRecentEvent,
       onServerLost: () => {},
+      onServerEnded: server => this.crashWatch.recordEnd(server),
+    });
+    this.crashWatch = new CrashWatch({
+      quarantine: this.quarantine,
+      hasEnded: server => this.failureDetector.hasEnded(server),
+      stateOf: server => this.fleet.stateOf(server),
+      nowMs,
     });
   }
 
@@ -700,6 +709,7 @@
       loads: this.loads,
       budget: this.budget,
       quarantine: this.quarantine,
+      crashWatch: this.crashWatch,
       limits: this.limits,
       holds: this.holds,
       refusals: new RefusalSender(this.metrics, this.logger),
@@ -778,7 +788,7 @@
     const req = {
       rawHeaders: ['request', id],
       method: 'POST',
-      url: '/draft/1',
+      url: `/draft/${id}`,
       complete: true,
     };
     return new CallerExchange(
