Bound arrivals of crashing requests over entries and restarts

Three close ends count for two. - A request whose trial has just ended a server was retried: it waits until the crash counts. - Two such requests excused each other: one with three ends is blamed whatever others explain. - Entries that restart forgot how often servers had ended: a block in the store makes the next request after it a trial, unless it was removed. An entry that connects is told at once what is blamed, and one that starts is not ready before it has heard of a peer, for 0.5 s at most.

--- a/packages/forwarding/src/core/peers/entry_mesh.ts
+++ b/packages/forwarding/src/core/peers/entry_mesh.ts
@@ -32,6 +32,8 @@
   readonly updateTable: (text: string) => void;
   readonly isStopping: () => boolean;
   readonly onLayoutHandover: (lease: Lease) => void;
+  /** Called when an entry has connected, which may know nothing yet. */
+  readonly onPeerJoined?: () => void;
   /** Answers a peer that asks what this entry has read from the store. */
   readonly readStoreFor?: (
     request: StoreReadRequest,
@@ -79,6 +81,7 @@
   /** Connections on which entries have reported here. */
   private readonly memberLinks = new Map<string, PeerLink>();
   private readonly questions = new Map<number, PendingQuestion>();
+  private hasHeardReports = false;
   private lastQuestion = 0;
   private lastFetch = {version: 0, atMs: -Infinity};
   private deflatedTable = {version: 0, data: new Uint8Array()};
@@ -117,6 +120,13 @@
     return this.peers.traffic;
   }
 
+  /** Whether another entry is known, but none has reported yet. */
+  get awaitsFirstReport(): boolean {
+    const own = this.peers.address;
+    const hasPeers = this.entries.some(({address}) => address !== own);
+    return hasPeers && !this.hasHeardReports;
+  }
+
   /** Whether reports go over relays, or each entry reports to all others. */
   get usesRelays(): boolean {
     return this.exchange.usesRelays;
@@ -282,6 +292,8 @@
         link.send({type: 'pong', seq: message.seq, ...this.versions()});
         return this.fetchIfNewer(message.configVersion, link);
       case 'hello':
+        this.options.onPeerJoined?.();
+        return this.fetchIfNewer(message.configVersion, link);
       case 'pong':
         return this.fetchIfNewer(message.configVersion, link);
       case 'shares':
@@ -321,6 +333,7 @@
   ): void {
     const now = this.options.nowMs();
     const {isStopping} = message;
+    this.hasHeardReports = true;
     this.heardPeers.set(link, {atMs: now, isStopping});
     this.fetchIfNewer(message.configVersion, link);
     this.exchange.applyArrived(now);
--- a/packages/forwarding/src/core/process/forwarding_process.ts
+++ b/packages/forwarding/src/core/process/forwarding_process.ts
@@ -107,6 +107,12 @@
 
 const MS_PER_SECOND = 1000;
 
+/**
+ * Time after the start for which an entry that knows of others is not ready
+ * until it has heard of one.
+ */
+const FIRST_REPORT_WAIT_MS = 500;
+
 /** Added to the idle and header timeouts that callers may use in full. */
 const CALLER_TIMEOUT_MARGIN_MS = 1000;
 
@@ -142,6 +148,7 @@
   private layoutRunner: LayoutRunner | undefined;
   private readonly storeWatchers: StoreWatchers;
   private readonly storeContact: StoreContact;
+  private startedAtMs = Infinity;
   private stopBeganAtMs = Infinity;
   /** Time at which a stopping process ends the requests that are left. */
   private drainEndsAtMs = Infinity;
@@ -227,6 +234,7 @@
         hasEventSince: (address, sinceMs) =>
           this.gateway.hasEventSince(address, sinceMs),
         onServerLost: () => this.layoutRunner?.checkNow(),
+        onPeerJoined: () => this.tellBlamed(),
         isStopping: () => this.isStopping,
         onLayoutHandover: lease => this.layoutRunner?.adoptLease(lease),
         layoutFence: () => this.layoutRunner?.fence ?? 0,
@@ -369,6 +377,7 @@
       peerPort,
       peerAdvertisedAddress,
     );
+    this.startedAtMs = performance.now();
     await this.listenForCallers();
     await this.listenForReadinessChecks();
     const health = this.disposables.add(
@@ -450,10 +459,17 @@
     return (
       !this.isStopping &&
       this.tableHolder.view !== undefined &&
-      this.storeWatchers.hasServerList
+      this.storeWatchers.hasServerList &&
+      this.hasHeardOfPeers()
     );
   }
 
+  /** Peers tell at once which requests end servers. */
+  private hasHeardOfPeers(): boolean {
+    const waitedMs = performance.now() - this.startedAtMs;
+    return !this.mesh.awaitsFirstReport || waitedMs >= FIRST_REPORT_WAIT_MS;
+  }
+
   private async listenForCallers(): Promise<void> {
     const app = polka({
       onNoMatch: (req, res) => this.gateway.handle(req, res),
@@ -534,6 +550,13 @@
     this.broadcastSoon();
   }
 
+  /** Tells an entry that has just connected what ends servers. */
+  private tellBlamed(): void {
+    if (!this.quarantine.hasBlamed) return;
+    this.quarantine.repeatBlamed();
+    this.broadcastSoon();
+  }
+
   /** Sends one report for all changes of this step of the event loop. */
   private broadcastSoon(): void {
     if (this.isBroadcastPending) return;
--- a/packages/forwarding/src/core/quarantine/blame_suspects.ts
+++ b/packages/forwarding/src/core/quarantine/blame_suspects.ts
@@ -23,8 +23,11 @@
 /** Number of crashes from which a suspect without any answer is blamed. */
 const MIN_CRASHES = 2;
 
-/** Number of crashes that one cause hardly explains, however close they are. */
-const MANY_CRASHES = 3;
+/**
+ * Number of crashes within that time of which one is taken for independent: a
+ * request that is sent often ends all servers of a small service so fast.
+ */
+const MANY_CLOSE_CRASHES = 3;
 
 /**
  * Number of independent crashes from which a part is blamed whose requests
@@ -33,6 +36,9 @@
  */
 const MIN_CRASHES_AFTER_ANSWERS = 4;
 
+/** Number of crashes from which others no longer excuse a request. */
+const MIN_CRASHES_BY_ITSELF = 3;
+
 /**
  * Number of crashes from which a request is blamed whose stream goes on for a
  * while each time. It is long at servers, so more of them end by chance.
@@ -55,29 +61,42 @@
   suspects: Iterable<Suspect>,
   nowMs: number,
 ): BlamedSuspect[] {
-  let candidates = [...suspects]
+  const all: Candidate[] = [...suspects]
     .filter(({crashAtMs}) => crashAtMs.size >= MIN_CRASHES)
     .map(suspect => {
       const crashes = settledCrashes(suspect, nowMs);
       return {suspect, crashes, unexplained: crashes};
     });
-  const blamed: BlamedSuspect[] = [];
-  for (;;) {
-    candidates = candidates.filter(isBlamable);
+  const blamed = new Map<SuspectKey, BlamedSuspect>();
+  const blame = (candidate: Candidate) =>
+    blamed.set(candidate.suspect.key, toBlamedSuspect(candidate));
+  let candidates = all.filter(isBlamable);
+  while (candidates.length > 0) {
     const most = Math.max(...candidates.map(c => c.unexplained.length));
     const first = candidates.filter(c => c.unexplained.length === most);
     const depth = Math.max(...first.map(c => c.suspect.depth));
     const chosen = first.filter(c => c.suspect.depth === depth);
-    if (chosen.length === 0) return blamed;
-    blamed.push(...chosen.map(toBlamedSuspect));
-    const explained = new Set(
-      chosen.flatMap(c => c.crashes.map(({crash}) => crash)),
-    );
-    candidates = candidates.map(c => ({
-      ...c,
-      unexplained: c.unexplained.filter(({crash}) => !explained.has(crash)),
-    }));
+    chosen.forEach(blame);
+    candidates = withoutExplained(candidates, chosen).filter(isBlamable);
   }
+  all.filter(isBlamedByItself).forEach(blame);
+  return [...blamed.values()];
+}
+
+/** Takes the crashes of those that are blamed from the others. */
+function withoutExplained(
+  candidates: readonly Candidate[],
+  blamed: readonly Candidate[],
+): Candidate[] {
+  const explained = new Set(
+    blamed.flatMap(({crashes}) => crashes.map(({crash}) => crash)),
+  );
+  return candidates.map(candidate => ({
+    ...candidate,
+    unexplained: candidate.unexplained.filter(
+      ({crash}) => !explained.has(crash),
+    ),
+  }));
 }
 
 interface Candidate {
@@ -90,6 +109,16 @@
   return excessCrashes(suspect, unexplained) >= 0;
 }
 
+/**
+ * Whether a suspect is blamed even if others explain all its crashes. Two
+ * requests that end servers are often at the same ones.
+ */
+function isBlamedByItself({suspect, crashes}: Candidate): boolean {
+  return (
+    kindOf(suspect.key) === 'request' && crashes.length >= MIN_CRASHES_BY_ITSELF
+  );
+}
+
 function toBlamedSuspect({suspect, crashes}: Candidate): BlamedSuspect {
   return {
     key: suspect.key,
@@ -113,11 +142,9 @@
   switch (kindOf(key)) {
     case 'running_request':
       return length - MIN_CRASHES_WHILE_RUNNING;
-    case 'request': {
+    case 'request':
       if (length < MIN_CRASHES) return -1;
-      const closeCrashes = length >= MANY_CRASHES ? 1 : 0;
-      return Math.max(independent - 1, closeCrashes);
-    }
+      return independent + countLargeBursts(crashes) - 1;
     case 'prompt_part':
       if (wasAnswered) return independent - MIN_CRASHES_AFTER_ANSWERS;
       return length < MIN_CRASHES ? -1 : independent - 1;
@@ -133,12 +160,25 @@
 
 /** Counts crashes, but those that follow each other at once only once. */
 function countIndependent(crashes: readonly Crash[]): number {
-  let count = 0;
+  return burstSizes(crashes).length;
+}
+
+function countLargeBursts(crashes: readonly Crash[]): number {
+  const isLarge = (size: number) => size >= MANY_CLOSE_CRASHES;
+  return burstSizes(crashes).filter(isLarge).length;
+}
+
+/** Numbers of crashes that follow each other at once. */
+function burstSizes(crashes: readonly Crash[]): number[] {
+  const sizes: number[] = [];
   let beganAtMs = -Infinity;
   for (const {atMs} of crashes) {
-    if (atMs - beganAtMs < SAME_CAUSE_MS) continue;
+    if (atMs - beganAtMs < SAME_CAUSE_MS) {
+      sizes[sizes.length - 1]++;
+      continue;
+    }
     beganAtMs = atMs;
-    count++;
+    sizes.push(1);
   }
-  return count;
+  return sizes;
 }
--- a/packages/forwarding/src/core/quarantine/crash_evidence.ts
+++ b/packages/forwarding/src/core/quarantine/crash_evidence.ts
@@ -16,6 +16,20 @@
   return `${server}@${startedAtMs}` as CrashId;
 }
 
+/** No id of a server begins with it. */
+const STORED_CRASH_PREFIX = '*';
+
+/** Number of independent crashes behind each block in the store. */
+const STORED_CRASHES = 3;
+
+/** Time between the crashes that are taken for those behind a block. */
+const STORED_CRASH_INTERVAL_MS = 1000;
+
+/** Whether a crash is known from the store only, not which server ended. */
+export function isStoredCrash(crash: CrashId): boolean {
+  return crash.startsWith(STORED_CRASH_PREFIX);
+}
+
 /** A request, or a part of its prompt, that a server ran when it ended. */
 export interface Suspect {
   readonly key: SuspectKey;
@@ -145,6 +159,35 @@
     return true;
   }
 
+  /**
+   * Records the crashes behind a block in the store, unless as many are known.
+   * Once the block has ended they make the next request a trial.
+   */
+  recordStoredCrashes(
+    key: SuspectKey,
+    lastCrashAtMs: number,
+    nowMs: number,
+  ): void {
+    const known = this.suspects.get(key)?.crashAtMs.size ?? 0;
+    if (known >= STORED_CRASHES) return;
+    for (let i = 0; i < STORED_CRASHES; i++) {
+      const crash = `${STORED_CRASH_PREFIX}${i}` as CrashId;
+      const atMs = lastCrashAtMs - i * STORED_CRASH_INTERVAL_MS;
+      this.recordCrash(key, 0, {crash, atMs, isOwn: false}, nowMs);
+    }
+  }
+
+  /** Forgets the crashes behind a block that was removed from the store. */
+  dropStoredCrashes(key: SuspectKey): void {
+    const suspect = this.suspects.get(key);
+    if (!suspect) return;
+    for (const crash of suspect.crashAtMs.keys()) {
+      if (isStoredCrash(crash)) suspect.crashAtMs.delete(crash);
+    }
+    if (suspect.crashAtMs.size === 0) this.drop(key);
+    this.changeCount++;
+  }
+
   /** Drops suspects without a crash for a long time. */
   expire(nowMs: number): void {
     for (const [key, {learnedAtMs}] of this.suspects) {
--- a/packages/forwarding/src/core/quarantine/quarantine_store.ts
+++ b/packages/forwarding/src/core/quarantine/quarantine_store.ts
@@ -20,6 +20,9 @@
  */
 const WRITE_SPREAD_PER_ENTRY_MS = 500;
 
+/** Longest span; most blocks must be written well before they end. */
+const MAX_WRITE_SPREAD_MS = 10_000;
+
 /** Shortest and longest time to live of a lease (users' protocol). */
 const MIN_LEASE_TTL_MS = 1000;
 const MAX_LEASE_TTL_MS = 10 * 60_000;
@@ -116,7 +119,8 @@
     const blocks = new Map(this.lost);
     for (const [suspect, {untilMs}] of this.stored)
       blocks.set(suspect, untilMs);
-    this.options.quarantine.setStoredBlocks(blocks);
+    const {quarantine, nowMs} = this.options;
+    quarantine.setStoredBlocks(blocks, nowMs());
   }
 
   /** Removes the blocks that a restore of the store has brought back. */
@@ -162,7 +166,10 @@
     for (const [suspect, untilMs] of blocks) {
       if (this.stored.has(suspect) || keyOf(suspect).length > MAX_KEY_CHARS)
         continue;
-      const spreadMs = entryCount() * WRITE_SPREAD_PER_ENTRY_MS;
+      const spreadMs = Math.min(
+        entryCount() * WRITE_SPREAD_PER_ENTRY_MS,
+        MAX_WRITE_SPREAD_MS,
+      );
       const dueAtMs =
         this.dueAtMs.get(suspect) ?? now + Math.random() * spreadMs;
       this.dueAtMs.set(suspect, dueAtMs);
--- a/packages/forwarding/src/core/quarantine/request_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/request_quarantine.ts
@@ -9,7 +9,12 @@
   CRASH_SETTLE_MS,
   type BlamedSuspect,
 } from './blame_suspects.js';
-import {CrashEvidence, type CrashId, type Suspect} from './crash_evidence.js';
+import {
+  CrashEvidence,
+  isStoredCrash,
+  type CrashId,
+  type Suspect,
+} from './crash_evidence.js';
 import type {RequestScope} from './request_digest.js';
 import {kindOf, type SuspectKey, type SuspectKind} from './suspect_key.js';
 import {SuspectScopes} from './suspect_scopes.js';
@@ -50,6 +55,13 @@
   running_request: [0, 3000, 30_000, 10 * 60_000],
 };
 
+/**
+ * Fraction of a pause by which it may be longer at an entry. Entries wait
+ * differently long, so that hardly two start a trial before they hear of each
+ * other.
+ */
+const MAX_PAUSE_SPREAD = 0.7;
+
 /** Pauses from this length on are kept in the store. */
 const MIN_STORED_PAUSE_MS = 30_000;
 
@@ -94,12 +106,20 @@
   private readonly contestedAtMs = new Map<SuspectKey, number>();
   private blamedReportedAtMs = -Infinity;
   private blamed = new Map<SuspectKey, BlamedSuspect>();
+  /** Fraction by which the present pause of each suspect is longer here. */
+  private readonly pauseSpreads = new Map<SuspectKey, number>();
   private blamedRevision = -1;
   private blamedAtMs = -Infinity;
   private expiredAtMs = 0;
 
-  /** @param onChange called after a change that other entries should know */
-  constructor(private readonly onChange: (change: QuarantineChange) => void) {}
+  /**
+   * @param onChange called after a change that other entries should know
+   * @param random returns numbers from 0 to 1 that differ between entries
+   */
+  constructor(
+    private readonly onChange: (change: QuarantineChange) => void,
+    private readonly random: () => number = Math.random,
+  ) {}
 
   /** Whether the digest of some request must be known to decide on it. */
   get suspectsRequests(): boolean {
@@ -237,10 +257,24 @@
   }
 
   /** Replaces the blocks that the store lists, with the end of each. */
-  setStoredBlocks(blocks: ReadonlyMap<SuspectKey, number>): void {
+  setStoredBlocks(
+    blocks: ReadonlyMap<SuspectKey, number>,
+    nowMs: number,
+  ): void {
+    for (const [key, untilMs] of this.storedBlocks) {
+      const isRemoved = !blocks.has(key) && untilMs > nowMs;
+      if (isRemoved) this.evidence.dropStoredCrashes(key);
+    }
     this.storedBlocks = blocks;
     this.storedScopes = new SuspectScopes();
-    for (const key of blocks.keys()) this.storedScopes.add(key);
+    for (const [key, untilMs] of blocks) {
+      this.storedScopes.add(key);
+      const lastCrashAtMs = Math.min(
+        nowMs,
+        untilMs - shortestStoredPauseMs(key),
+      );
+      this.evidence.recordStoredCrashes(key, lastCrashAtMs, nowMs);
+    }
   }
 
   /** What is blocked beyond the life of this process, with the end of each block. */
@@ -273,7 +307,9 @@
     const storedUntilMs = this.storedBlocks.get(key) ?? 0;
     const suspect = this.blamed.get(key);
     if (!suspect) return storedUntilMs;
-    return Math.max(storedUntilMs, suspect.lastCrashAtMs + pauseMs(suspect));
+    const spread = 1 + (this.pauseSpreads.get(key) ?? 0);
+    const pausedForMs = spread * pauseMs(suspect);
+    return Math.max(storedUntilMs, suspect.lastCrashAtMs + pausedForMs);
   }
 
   private currentlyBlamed(
@@ -293,8 +329,12 @@
     this.blamed = new Map(suspects.map(suspect => [suspect.key, suspect]));
     for (const suspect of suspects) {
       const known = before.get(suspect.key)?.excessCrashes;
-      if (known !== suspect.excessCrashes)
-        this.onChange({kind: 'blamed', suspect});
+      if (known === suspect.excessCrashes) continue;
+      this.pauseSpreads.set(suspect.key, MAX_PAUSE_SPREAD * this.random());
+      this.onChange({kind: 'blamed', suspect});
+    }
+    for (const key of this.pauseSpreads.keys()) {
+      if (!this.blamed.has(key)) this.pauseSpreads.delete(key);
     }
     return this.blamed;
   }
@@ -318,6 +358,7 @@
       key,
       depth,
       crashes: [...crashAtMs]
+        .filter(([crash]) => !isStoredCrash(crash))
         .slice(-MAX_REPORTED_CRASHES)
         .map(([crash, atMs]) => [crash, Math.round(nowMs - atMs)]),
       trialLeftMs: trial?.isOwn ? Math.max(0, trial.untilMs - nowMs) : 0,
@@ -344,6 +385,11 @@
   return pausesMs[Math.min(excessCrashes, pausesMs.length - 1)];
 }
 
+function shortestStoredPauseMs(key: SuspectKey): number {
+  const pausesMs = TRIAL_PAUSES_MS[kindOf(key)];
+  return pausesMs.find(pause => pause >= MIN_STORED_PAUSE_MS) ?? 0;
+}
+
 /**
  * Whether other entries should know of a suspect. A stream goes on at the entry
  * that it began at, so its first crash concerns no other.
--- a/packages/forwarding/src/core/relay/run_guard.ts
+++ b/packages/forwarding/src/core/relay/run_guard.ts
@@ -5,6 +5,7 @@
 import type {PromptPartId, RefusalReason, ServiceId} from '@azurecrank/core';
 import type {BackendServer} from '../fleet/backend_server.js';
 import type {CallerExchange} from '../gateway/caller_exchange.js';
+import {CRASH_SETTLE_MS} from '../quarantine/blame_suspects.js';
 import {crashIdOf} from '../quarantine/crash_evidence.js';
 import type {CrashWatch} from '../quarantine/crash_watch.js';
 import type {RequestQuarantine} from '../quarantine/request_quarantine.js';
@@ -38,6 +39,8 @@
   private firstEventAtMs: number | undefined;
   private chunksWithEvents = 0;
   private isTrial = false;
+  /** Time from which the crash in a trial of this request counts. */
+  private lostTrialCountsAtMs = -Infinity;
   /** Whether a server has survived the beginning, so that all others will. */
   private hasSurvived = false;
 
@@ -49,7 +52,9 @@
   /** Time until the request may start on a server; 0 if it may at once. */
   blockedForMs(): number {
     const {quarantine, nowMs} = this.options;
-    return quarantine.blockedForMs(this.startKeys(), nowMs());
+    const now = nowMs();
+    const blockedForMs = quarantine.blockedForMs(this.startKeys(), now);
+    return Math.max(blockedForMs, this.lostTrialCountsAtMs - now);
   }
 
   /** Time after which the caller of a blocked request is to come back. */
@@ -81,6 +86,7 @@
     const {quarantine, nowMs} = this.options;
     this.firstEventAtMs = undefined;
     this.chunksWithEvents = 0;
+    if (this.lostTrialCountsAtMs > nowMs()) return false;
     const decision = quarantine.tryStart(this.startKeys(), nowMs());
     this.isTrial = decision === 'trial';
     return decision !== 'blocked';
@@ -120,6 +126,7 @@
     const [first, ...later] = path;
     const {crashWatch, quarantine, nowMs} = this.options;
     const {isTrial} = this;
+    if (isTrial) this.lostTrialCountsAtMs = nowMs() + CRASH_SETTLE_MS;
     const keys = this.runKeys();
     const brokenOffAtMs = nowMs();
     const loss = {server: first, keys, brokenOffAtMs};
