Keep streams that end servers midway from them for 3 s at first

A load of one stream that ends its servers after 12 events, requested three times a second, had 4 and 7 arrivals later than 3 s after the third end at 48 entries: the first trial after three ends came at once, and streams that wait at all entries start in the moment in which a chain is back. The first pause is now 3 s, and up to three times as long by chance.

--- a/packages/forwarding/src/core/quarantine/request_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/request_quarantine.ts
@@ -52,15 +52,20 @@
 const TRIAL_PAUSES_MS: Readonly<Record<SuspectKind, readonly number[]>> = {
   prompt_part: [0, 3000, 10 * 60_000],
   request: [0, 3000, 30_000, 10 * 60_000],
-  running_request: [0, 3000, 30_000, 10 * 60_000],
+  running_request: [3000, 30_000, 10 * 60_000],
 };
 
 /**
  * Fraction of a pause by which it may be longer at an entry. Entries wait
  * differently long, so that hardly two start a trial before they hear of each
- * other.
+ * other. Streams that wait start together when a chain is back, so they differ
+ * more.
  */
-const MAX_PAUSE_SPREAD = 0.7;
+const MAX_PAUSE_SPREADS: Readonly<Record<SuspectKind, number>> = {
+  prompt_part: 0.7,
+  request: 0.7,
+  running_request: 2,
+};
 
 /** Pauses from this length on are kept in the store. */
 const MIN_STORED_PAUSE_MS = 30_000;
@@ -330,7 +335,8 @@
     for (const suspect of suspects) {
       const known = before.get(suspect.key)?.excessCrashes;
       if (known === suspect.excessCrashes) continue;
-      this.pauseSpreads.set(suspect.key, MAX_PAUSE_SPREAD * this.random());
+      const maxSpread = MAX_PAUSE_SPREADS[kindOf(suspect.key)];
+      this.pauseSpreads.set(suspect.key, maxSpread * this.random());
       this.onChange({kind: 'blamed', suspect});
     }
     for (const key of this.pauseSpreads.keys()) {
--- a/packages/forwarding/test/stream_fleet.ts
+++ b/packages/forwarding/test/stream_fleet.ts
@@ -107,6 +107,9 @@
 
 interface SimulatedRequest {
   readonly id: RequestId;
+  readonly target: string;
+  /** Whether it ends the servers that run it. */
+  readonly crashes: boolean;
   readonly parts: readonly PromptPartId[];
   readonly sentAtMs: number;
   /** Number of times that the request reached a server. */
@@ -157,9 +160,16 @@
   route: Partial<Route> = {};
   /** Whether entries hear of each other. */
   areEntriesConnected = true;
+  /**
+   * What crashing requests have in common: a part of their prompts, or they are
+   * one request that is sent again, with parts as sound ones have.
+   */
+  crashingBy: 'part' | 'request' = 'part';
+  /** Events of a crashing request before its server ends. */
+  eventsBeforeCrash = 0;
   /** Times at which a server ended because of a prompt. */
   readonly crashAtMs: number[] = [];
-  /** Times at which requests with the crashing part reached a server. */
+  /** Times at which crashing requests reached a server. */
   readonly crashingArrivalAtMs: number[] = [];
   readonly requests: SimulatedRequest[] = [];
   readonly entries: Entry[];
@@ -281,11 +291,8 @@
     isCounted: (parts: readonly PromptPartId[]) => boolean,
   ): number {
     const counted = this.requests.filter(
-      ({sentAtMs, parts}) =>
-        sentAtMs >= fromMs &&
-        sentAtMs < toMs &&
-        !parts.includes(CRASHING_PART) &&
-        isCounted(parts),
+      ({sentAtMs, parts, crashes}) =>
+        sentAtMs >= fromMs && sentAtMs < toMs && !crashes && isCounted(parts),
     );
     const begun = counted.filter(({hasBegunAtOnce}) => hasBegunAtOnce);
     return begun.length / counted.length;
@@ -353,22 +360,25 @@
       run.handlers.onHead(503, [...headers, ...idHeader]);
       return run.handlers.onEnd();
     }
-    const crashes = run.request.parts.includes(CRASHING_PART);
+    const {crashes} = run.request;
     if (crashes) this.crashingArrivalAtMs.push(this.nowMs);
     state.runs.add(run);
     this.after(this.between(MIN_FIRST_TOKEN_MS, MAX_FIRST_TOKEN_MS), () => {
       if (run.isOver) return;
-      if (!crashes) return this.sendEvent(state, run, 1);
+      if (!crashes || this.eventsBeforeCrash > 0)
+        return this.sendEvent(state, run, 1);
       this.sendHead(state, run);
       const delayMs = this.between(MIN_CRASH_DELAY_MS, MAX_CRASH_DELAY_MS);
-      this.after(delayMs, () => {
-        if (run.isOver) return;
-        this.crashAtMs.push(this.nowMs);
-        this.end(state);
-      });
+      this.after(delayMs, () => this.crash(state, run));
     });
   }
 
+  private crash(state: ServerState, run: Run): void {
+    if (run.isOver) return;
+    this.crashAtMs.push(this.nowMs);
+    this.end(state);
+  }
+
   private sendHead(state: ServerState, run: Run): void {
     const idHeader = [REQUEST_ID_HEADER, run.request.id];
     run.handlers.onHead(200, [...state.headers, ...idHeader]);
@@ -391,6 +401,8 @@
     if (number === 1) this.sendHead(state, run);
     if (run.request.arrivals === 1) run.request.hasBegunAtOnce = true;
     run.handlers.onData(Buffer.from(`id: ${number}\ndata: t\n\n`));
+    if (run.request.crashes && number === this.eventsBeforeCrash)
+      return this.crash(state, run);
     if (number < EVENTS) {
       return this.after(EVENT_INTERVAL_MS, () =>
         this.sendEvent(state, run, number + 1),
@@ -427,11 +439,17 @@
     const parts: PromptPartId[] = [];
     const first = Math.floor(FIRST_PARTS * this.random() ** 2);
     const middle = Math.floor(MIDDLE_PARTS * this.random());
-    if (crashes) parts.push(SHARED_FIRST_PART, CRASHING_PART);
+    const isRepeated = crashes && this.crashingBy === 'request';
+    if (isRepeated) parts.push(SHARED_FIRST_PART);
+    else if (crashes) parts.push(SHARED_FIRST_PART, CRASHING_PART);
     else parts.push(`first-${first}` as PromptPartId);
-    if (this.random() < 0.5) parts.push(`middle-${middle}` as PromptPartId);
+    if (!isRepeated && this.random() < 0.5)
+      parts.push(`middle-${middle}` as PromptPartId);
+    const id = `r${this.requests.length}` as RequestId;
     const request: SimulatedRequest = {
-      id: `r${this.requests.length}` as RequestId,
+      id,
+      target: isRepeated ? '/draft/crash' : `/draft/${id}`,
+      crashes,
       parts,
       sentAtMs: this.nowMs,
       arrivals: 0,
@@ -466,7 +484,7 @@
     return min + this.random() * (max - min);
   }
 
-  private random(): number {
+  random(): number {
     return uniformFloat64(this.generator);
   }
 }
@@ -595,7 +613,7 @@
     extraRetries: 390,
     windowMs: 10_000,
   });
-  private readonly quarantine = new RequestQuarantine(() => this.reportSoon());
+  private readonly quarantine: RequestQuarantine;
   private readonly streams = new Set<StreamRelay>();
   private readonly upstream: SimulatedUpstream;
   private readonly leavingServers: LeavingServers;
@@ -612,6 +630,10 @@
     private readonly simulation: StreamFleet,
   ) {
     const nowMs = () => simulation.nowMs;
+    this.quarantine = new RequestQuarantine(
+      () => this.reportSoon(),
+      () => simulation.random(),
+    );
     for (const server of simulation.registered) {
       if (simulation.isUp(server.address)) this.fleet.put(server, nowMs());
     }
@@ -782,13 +804,14 @@
 
   private createExchange({
     id,
+    target,
     parts,
     response,
   }: SimulatedRequest): CallerExchange {
     const req = {
       rawHeaders: ['request', id],
       method: 'POST',
-      url: `/draft/${id}`,
+      url: target,
       complete: true,
     };
     return new CallerExchange(
