--- a/packages/forwarding/src/core/quarantine/crash_watch.ts
+++ b/packages/forwarding/src/core/quarantine/crash_watch.ts
@@ -37,6 +37,9 @@
 /** Time for which the end of a server counts for a run. */
 const WATCH_MS = 6000;
 
+/** Interval at which runs are dropped that are no longer watched. */
+const EXPIRY_INTERVAL_MS = 1000;
+
 /** Bounds on memory; further runs are not watched. */
 const MAX_SERVERS = 256;
 const MAX_RUNS_PER_SERVER = 64;
@@ -52,6 +55,7 @@
 
 export class CrashWatch {
   private readonly servers = new Map<CrashId, WatchedServer>();
+  private expiredAtMs = -Infinity;
 
   constructor(private readonly options: CrashWatchOptions) {}
 
@@ -115,6 +119,8 @@
   }
 
   private expire(nowMs: number): void {
+    if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return;
+    this.expiredAtMs = nowMs;
     for (const [id, watched] of this.servers) {
       watched.runs = watched.runs.filter(({endsAtMs}) => endsAtMs > nowMs);
       if (watched.runs.length === 0) this.servers.delete(id);
--- a/packages/forwarding/src/core/quarantine/request_quarantine.ts
+++ b/packages/forwarding/src/core/quarantine/request_quarantine.ts
@@ -16,8 +16,14 @@
   type Suspect,
 } from './crash_evidence.js';
 import type {RequestScope} from './request_digest.js';
-import {kindOf, type SuspectKey, type SuspectKind} from './suspect_key.js';
+import {kindOf, type SuspectKey} from './suspect_key.js';
 import {SuspectScopes} from './suspect_scopes.js';
+import {
+  maxPauseSpread,
+  MIN_STORED_PAUSE_MS,
+  pauseMs,
+  shortestStoredPauseMs,
+} from './trial_pauses.js';
 
 /** Evidence for the other entries; ages are in milliseconds. */
 export interface QuarantineReport {
@@ -43,33 +49,6 @@
 /** Whether a request may start on a server, and how. */
 export type StartDecision = 'free' | 'trial' | 'blocked';
 
-/**
- * Times after the last crash for which a blamed suspect gets no trial, by the
- * number of crashes since it was blamed. The last one applies to all further
- * crashes. A request has one more, as a sound one may have been the only work of
- * servers that ended by themselves.
- */
-const TRIAL_PAUSES_MS: Readonly<Record<SuspectKind, readonly number[]>> = {
-  prompt_part: [0, 3000, 10 * 60_000],
-  request: [0, 3000, 30_000, 10 * 60_000],
-  running_request: [3000, 30_000, 10 * 60_000],
-};
-
-/**
- * Fraction of a pause by which it may be longer at an entry. Entries wait
- * differently long, so that hardly two start a trial before they hear of each
- * other. Streams that wait start together when a chain is back, so they differ
- * more.
- */
-const MAX_PAUSE_SPREADS: Readonly<Record<SuspectKind, number>> = {
-  prompt_part: 0.7,
-  request: 0.7,
-  running_request: 2,
-};
-
-/** Pauses from this length on are kept in the store. */
-const MIN_STORED_PAUSE_MS = 30_000;
-
 /**
  * Longest time after which the caller of a request that is blocked by a trial
  * is to come back. Most trials have an outcome sooner than their timeout.
@@ -335,8 +314,8 @@
     for (const suspect of suspects) {
       const known = before.get(suspect.key)?.excessCrashes;
       if (known === suspect.excessCrashes) continue;
-      const maxSpread = MAX_PAUSE_SPREADS[kindOf(suspect.key)];
-      this.pauseSpreads.set(suspect.key, maxSpread * this.random());
+      const spread = maxPauseSpread(suspect) * this.random();
+      this.pauseSpreads.set(suspect.key, spread);
       this.onChange({kind: 'blamed', suspect});
     }
     for (const key of this.pauseSpreads.keys()) {
@@ -385,17 +364,6 @@
   }
 }
 
-/** Time after the last crash for which a blamed suspect gets no trial. */
-function pauseMs({key, excessCrashes}: BlamedSuspect): number {
-  const pausesMs = TRIAL_PAUSES_MS[kindOf(key)];
-  return pausesMs[Math.min(excessCrashes, pausesMs.length - 1)];
-}
-
-function shortestStoredPauseMs(key: SuspectKey): number {
-  const pausesMs = TRIAL_PAUSES_MS[kindOf(key)];
-  return pausesMs.find(pause => pause >= MIN_STORED_PAUSE_MS) ?? 0;
-}
-
 /**
  * Whether other entries should know of a suspect. A stream goes on at the entry
  * that it began at, so its first crash concerns no other.
