Keep the place of a trial whose caller has left

A stream that was let through as a trial gave its place up when its caller left, though the server may go on with it and end: the next one like it started at once, so a caller who sends such a request and leaves each time ends one server after the other.

--- a/packages/forwarding/src/core/relay/run_guard.ts
+++ b/packages/forwarding/src/core/relay/run_guard.ts
@@ -151,6 +151,8 @@
   /** Records that a run was given up that its server may go on with. */
   abandonRun(server: BackendServer): void {
     const keys = this.runKeys();
+    // A trial keeps its place: its outcome is still open.
+    this.isTrial = false;
     this.options.crashWatch.watch({server, keys, brokenOffAtMs: undefined});
   }
 
--- a/packages/forwarding/test/crashing_streams_test.ts
+++ b/packages/forwarding/test/crashing_streams_test.ts
@@ -3,9 +3,13 @@
  * it, while sound streams with the same first part go to the same servers.
  */
 import {describe, it} from 'node:test';
-import {requestKey, runningRequestKey} from '@azurecrank/forwarding';
+import {
+  requestKey,
+  runningRequestKey,
+  type CrashId,
+} from '@azurecrank/forwarding';
 import {expect} from 'earl';
-import {RelayHarness, flushPromises} from './relay_harness.js';
+import {FakeResponse, RelayHarness, flushPromises} from './relay_harness.js';
 import {SHARED_FIRST_PART, StreamFleet} from './stream_fleet.js';
 
 const SOUND = {soundPerSecond: 20, crashingPerSecond: 0};
@@ -92,6 +96,20 @@
     expect(suspectsOf(harness)).toEqual([requestKey(harness.digest)]);
   });
 
+  // Guards against a trial after each caller who leaves before the outcome.
+  it('lets no other trial start while the server may go on with one', async () => {
+    const harness = new RelayHarness();
+    const key = requestKey(harness.digest);
+    for (const id of ['a', 'b'])
+      harness.quarantine.recordCrash([key], `${id}@1` as CrashId, 1000);
+    harness.nowMs = 2000;
+    const response = new FakeResponse();
+    harness.startStream({}, [], response, {request: 'again'});
+    expect(harness.upstream.sent.length).toEqual(2);
+    response.destroy();
+    expect(harness.quarantine.blockedForMs([key], 2500)).toBeGreaterThan(0);
+  });
+
   it('is of its own kind once the stream has gone on for a while', async () => {
     const harness = new RelayHarness();
     for (let loss = 0; loss < 2; loss++) {
