Correct the comment on runs that servers have survived

It said that all other servers survive such a request. Since streams are suspected after that moment too, that no longer holds. A comment only; request_quarantine_test passes.

--- a/packages/forwarding/src/core/relay/run_guard.ts
+++ b/packages/forwarding/src/core/relay/run_guard.ts
@@ -41,7 +41,7 @@
   private isTrial = false;
   /** Time from which the crash in a trial of this request counts. */
   private lostTrialCountsAtMs = -Infinity;
-  /** Whether a server has survived the beginning, so that all others will. */
+  /** Whether a server has survived the beginning of a run. */
   private hasSurvived = false;
 
   constructor(private readonly options: RunGuardOptions) {
